--- a/cmd/rhubarbpost/cmds/cmds.go
+++ b/cmd/rhubarbpost/cmds/cmds.go
@@ -58,6 +58,7 @@
 	t.addProcess("entry", "Serve callers: queries and orders.", runEntry)
 	t.addProcess("agent", "Watch the platform and spread configuration between hosts.", runAgent)
 	t.addProcess("console", "Serve the operators' console.", runConsole)
+	t.addHost()
 	t.addConfig()
 	t.addVersion()
 	return t
--- /dev/null
+++ b/cmd/rhubarbpost/cmds/host.go
@@ -0,0 +1,90 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"os"
+	"runtime/debug"
+
+	"github.com/integrii/flaggy"
+	"github.com/rhubarbpost/rhubarbpost/internal/exiter"
+	"github.com/rhubarbpost/rhubarbpost/internal/forwarder"
+	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
+	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/merger"
+	"github.com/rhubarbpost/rhubarbpost/platform/adapter"
+)
+
+const (
+	// settingsVariable holds the path of the settings file where no flag does.
+	settingsVariable = "RHUBARBPOST_BOOT"
+	// gcPercent trades some processor time for a small heap, which is dear on the hosts.
+	gcPercent = 40
+)
+
+// addHost adds the command that serves callers on the prepared platform.
+func (t *tree) addHost() {
+	sub := flaggy.NewSubcommand("host")
+	sub.Description = "Serve callers on the prepared platform: one process a host."
+	sub.AdditionalHelpAppend = "\nExample: rhubarbpost host --settings host.jsonc"
+	file := os.Getenv(settingsVariable)
+	sub.String(&file, "s", "settings", "Settings file, JSON with comments (default: the path in "+settingsVariable+")")
+	t.attach(nil, sub, func() error {
+		if file == "" {
+			return &exitError{code: exiter.Usage, cause: errors.New("--settings is required")}
+		}
+		return t.runHost(file)
+	})
+}
+
+func (t *tree) runHost(file string) error {
+	settings, err := forwarder.LoadSettings(file)
+	if err != nil {
+		return &exitError{code: exiter.Invalid, cause: err}
+	}
+	debug.SetGCPercent(gcPercent)
+	lines := logger.NewLimiter(t.out, settings.Log.BytesPerSecond)
+	defer lines.Close()
+	cfg := settings.Log.Config
+	cfg.Process, cfg.Host = "host", settings.Name
+	log := logger.New(lines, cfg)
+	ctx, second := exiter.Signals()
+	log.Info(logger.ProcessStarted, "version", version(), "domain", settings.Domain, "listen", settings.Listen.Callers, "store", settings.Store)
+	store := adapter.NewStore(adapter.StoreConfig{
+		Address: settings.Store, CallTimeout: forwarder.StoreCallTimeout, WatchWait: forwarder.WatchWait,
+		DialContext: forwarder.Dialer(forwarder.StoreCallTimeout),
+	})
+	defer store.Close()
+	f, err := forwarder.New(forwarder.Config{
+		Settings: settings, Store: store, Layout: adapter.Layout(), Dialect: adapter.Dialect{},
+		Documents: adapter.Documents{}, Merger: merger.New(adapter.Records{}), Logger: log,
+	})
+	if err != nil {
+		var open *listener.OpenError
+		if errors.As(err, &open) {
+			log.Error(logger.ListenFailed, "error", err)
+			return &exitError{code: exiter.PortInUse, cause: err}
+		}
+		return err
+	}
+	<-ctx.Done()
+	return stopHost(f, second)
+}
+
+// stopHost stops a host with notice; a second signal ends it at once.
+func stopHost(f *forwarder.Forwarder, second <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-second:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	err := f.Stop(ctx)
+	if err != nil {
+		return &exitError{code: exiter.CutOff, cause: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/forwarder/client.go
@@ -0,0 +1,189 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
+)
+
+const (
+	// dialTimeout is some hundred times the delay between failure domains.
+	dialTimeout = 400 * time.Millisecond
+	// userTimeout is when unacknowledged bytes end a connection whose other side has gone silent.
+	userTimeout = time.Second
+	// tcpUserTimeout is the socket option of that name, in milliseconds.
+	tcpUserTimeout = 18
+	// idleConnections are kept to each server: one host rarely has more requests at one.
+	idleConnections = 2
+	idleTimeout     = 30 * time.Second
+	maxAnswerBytes  = 8 << 20
+	bufferBytes     = 2 << 10
+)
+
+// outbound is the part of a request that is the same for all attempts.
+type outbound struct {
+	method string
+	url    *url.URL
+	host   string
+	header http.Header
+	body   []byte
+}
+
+// client exchanges requests with backend servers.
+type client struct {
+	transport *http.Transport
+	dialect   Dialect
+	opened    *atomic.Int64
+}
+
+// countedConn counts the bytes written, so that a request that never left is known as not run.
+type countedConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+// Write counts what the connection has taken.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+func newClient(dialect Dialect) *client {
+	c := &client{dialect: dialect, opened: new(atomic.Int64)}
+	dial := Dialer(dialTimeout)
+	c.transport = &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			c.opened.Add(1)
+			return &countedConn{Conn: conn}, nil
+		},
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+		ReadBufferSize:      bufferBytes,
+		WriteBufferSize:     bufferBytes,
+	}
+	return c
+}
+
+// Dialer returns a dial function whose connections end when the other side has gone silent.
+func Dialer(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := &net.Dialer{
+		Timeout:         timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 2},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var optionErr error
+			err := raw.Control(func(fd uintptr) {
+				optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+			})
+			return errors.Join(err, optionErr)
+		},
+	}
+	return dialer.DialContext
+}
+
+// emptyBody is a body without bytes that net/http can't take for none, so that
+// it never sends a request a second time by itself.
+type emptyBody struct{}
+
+// Read returns io.EOF.
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+
+// Close does nothing.
+func (emptyBody) Close() error { return nil }
+
+// onceBody hides the reader's type, so that net/http can't rewind it.
+type onceBody struct{ data []byte }
+
+// Read returns what is left of the body.
+func (b *onceBody) Read(p []byte) (int, error) {
+	if len(b.data) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, b.data)
+	b.data = b.data[n:]
+	return n, nil
+}
+
+// Close does nothing.
+func (*onceBody) Close() error { return nil }
+
+func (o outbound) request(ctx context.Context, server *lister.Server) *http.Request {
+	target := *o.url
+	target.Scheme, target.Host = "http", server.Address
+	r := &http.Request{
+		Method: o.method, URL: &target, Host: o.host, Header: o.header.Clone(),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Body: emptyBody{},
+	}
+	if len(o.body) > 0 {
+		r.Body = &onceBody{data: o.body}
+		r.ContentLength = int64(len(o.body))
+	}
+	return r.WithContext(ctx)
+}
+
+// exchange sends one request to a server and reads the whole answer.
+func (c *client) exchange(ctx context.Context, call Call, out outbound, server *lister.Server, deadline time.Time) *Answer {
+	var conn atomic.Pointer[countedConn]
+	var before atomic.Int64
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		counted, ok := info.Conn.(*countedConn)
+		if ok {
+			before.Store(counted.written.Load())
+			conn.Store(counted)
+		}
+	}})
+	r := out.request(ctx, server)
+	c.dialect.Address(r.Header, server, time.Until(deadline))
+	response, err := c.transport.RoundTrip(r)
+	if err != nil {
+		held := conn.Load()
+		sent := held != nil && held.written.Load() > before.Load()
+		return &Answer{Code: failureCode(ctx, sent), Err: err}
+	}
+	a := &Answer{Status: response.StatusCode, Header: response.Header}
+	a.Body, err = io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	_ = response.Body.Close()
+	switch {
+	case err != nil:
+		return &Answer{Code: failureCode(ctx, true), Err: err}
+	case len(a.Body) > maxAnswerBytes:
+		return &Answer{Code: classifier.ResponseTooLarge}
+	}
+	c.dialect.Classify(call, a)
+	if a.Code == classifier.EchoMismatch && conn.Load() != nil {
+		// What comes next on this connection belongs to no request either.
+		_ = conn.Load().Close()
+	}
+	return a
+}
+
+// failureCode tells what is known of a request whose exchange failed.
+func failureCode(ctx context.Context, sent bool) classifier.Code {
+	switch {
+	case !sent && ctx.Err() == nil:
+		return classifier.ServerUnreachable
+	case ctx.Err() != nil:
+		return classifier.CodeOf(ctx.Err(), classifier.ServerFailed)
+	}
+	return classifier.ServerFailed
+}
+
+// close closes idle connections.
+func (c *client) close() {
+	c.transport.CloseIdleConnections()
+}
--- /dev/null
+++ b/internal/forwarder/engine.go
@@ -0,0 +1,291 @@
+package forwarder
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/ringer"
+)
+
+const (
+	// eventRing holds the events of some hundred requests over some hundred shards.
+	eventRing = 4096
+	// expiryInterval is how often lapsed entries are looked for.
+	expiryInterval = 250 * time.Millisecond
+)
+
+// event is an input of the engine.
+type event interface{ engineEvent() }
+
+// arrival is a caller's request with the channel that gets its one reply.
+type arrival struct {
+	id       uint64
+	call     Call
+	route    *matcher.Route
+	version  uint64
+	outbound outbound
+	reply    chan reply
+}
+
+// reply is the end of a request: answers, one for each part, or a failure.
+type reply struct {
+	answers []*Answer
+	failure *classifier.Failure
+}
+
+type abandonment struct{ id uint64 }
+
+type ending struct {
+	attempt uint64
+	answer  *Answer
+}
+
+type listing struct {
+	entries  []lister.Entry
+	whole    bool
+	revision uint64
+	outage   time.Duration
+}
+
+type hostCount struct{ n int }
+
+func (*arrival) engineEvent()    {}
+func (abandonment) engineEvent() {}
+func (ending) engineEvent()      {}
+func (*listing) engineEvent()    {}
+func (hostCount) engineEvent()   {}
+
+// sending is an attempt that has not ended.
+type sending struct {
+	request uint64
+	server  *lister.Server
+	cancel  context.CancelFunc
+}
+
+// engine runs the scatterer in one goroutine and carries out its actions.
+type engine struct {
+	log       *logger.Logger
+	metrics   *counters
+	client    *client
+	ring      *ringer.Ring[event]
+	machine   *scatterer.Machine
+	servers   *lister.Lister
+	requests  map[uint64]*arrival
+	sendings  map[uint64]sending
+	answers   map[uint64]map[uint64]*Answer
+	listed    chan struct{}
+	listOnce  sync.Once
+	exchanges sync.WaitGroup
+	ctx       context.Context
+	cancel    context.CancelFunc
+	done      chan struct{}
+}
+
+func newEngine(cfg Config, metrics *counters, c *client) *engine {
+	servers := lister.New(lister.Config{Retention: retention})
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &engine{
+		log: cfg.Logger, metrics: metrics, client: c,
+		ring:     ringer.New[event](eventRing),
+		machine:  scatterer.New(cfg.Settings.scatterer(), servers),
+		servers:  servers,
+		requests: make(map[uint64]*arrival),
+		sendings: make(map[uint64]sending),
+		answers:  make(map[uint64]map[uint64]*Answer),
+		listed:   make(chan struct{}),
+		ctx:      ctx,
+		cancel:   cancel,
+		done:     make(chan struct{}),
+	}
+	go e.run()
+	return e
+}
+
+// close ends the engine and waits for its goroutines.
+func (e *engine) close() {
+	e.cancel()
+	<-e.done
+	e.exchanges.Wait()
+}
+
+func (e *engine) push(item event) {
+	// The error is the end of the engine, after which nothing waits for the event.
+	_ = e.ring.Push(e.ctx, item)
+}
+
+func (e *engine) run() {
+	defer close(e.done)
+	wake := time.NewTimer(time.Hour)
+	defer wake.Stop()
+	expiry := time.NewTicker(expiryInterval)
+	defer expiry.Stop()
+	for {
+		at, ok := e.machine.Wake()
+		if ok {
+			wake.Reset(time.Until(at))
+		} else {
+			wake.Reset(time.Hour)
+		}
+		select {
+		case item := <-e.ring.Items():
+			e.step(item)
+		case <-wake.C:
+			e.act(e.machine.Step(time.Now(), &scatterer.Woken{}))
+		case <-expiry.C:
+			e.unlist(e.servers.Expire(time.Now()), "lapsed")
+		case <-e.ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *engine) step(item event) {
+	now := time.Now()
+	switch item := item.(type) {
+	case *arrival:
+		e.requests[item.id] = item
+		e.answers[item.id] = make(map[uint64]*Answer)
+		e.act(e.machine.Step(now, &scatterer.Arrived{Request: item.id, Route: item.route, Left: item.call.Left}))
+	case ending:
+		e.ended(now, item)
+	case abandonment:
+		e.abandoned(now, item)
+	case *listing:
+		e.list(now, item)
+	case hostCount:
+		e.machine.SetHosts(item.n)
+	}
+}
+
+func (e *engine) ended(now time.Time, item ending) {
+	s, ok := e.sendings[item.attempt]
+	if !ok {
+		return
+	}
+	s.cancel()
+	delete(e.sendings, item.attempt)
+	a := item.answer
+	e.answers[s.request][item.attempt] = a
+	e.metrics.attempt(a.Code)
+	if a.Code != classifier.OK {
+		e.log.Info(logger.AttemptFailed, "request", e.requests[s.request].call.ID, "server", s.server.ID,
+			"domain", s.server.Domain, "result", a.Code, "status", a.Status, "error", a.Err)
+	}
+	e.act(e.machine.Step(now, &scatterer.Ended{Attempt: item.attempt, Code: a.Code, Final: a.Final, Load: a.Load}))
+}
+
+func (e *engine) abandoned(now time.Time, item abandonment) {
+	r := e.requests[item.id]
+	if r == nil {
+		return
+	}
+	e.log.Info(logger.RequestAbandoned, "request", r.call.ID, "route", r.route.Name)
+	e.metrics.abandoned.Inc()
+	e.act(e.machine.Step(now, &scatterer.Abandoned{Request: item.id}))
+	e.forget(item.id)
+}
+
+func (e *engine) act(actions []scatterer.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case *scatterer.Send:
+			e.send(a)
+		case *scatterer.Cancel:
+			s, ok := e.sendings[a.Attempt]
+			if ok {
+				s.cancel()
+				delete(e.sendings, a.Attempt)
+			}
+		case *scatterer.Complete:
+			e.complete(a)
+		case *scatterer.Refuse:
+			e.refuse(a)
+		}
+	}
+}
+
+func (e *engine) send(a *scatterer.Send) {
+	r := e.requests[a.Request]
+	ctx, cancel := context.WithDeadline(e.ctx, a.Deadline)
+	e.sendings[a.Attempt] = sending{request: a.Request, server: a.Server, cancel: cancel}
+	if a.Reason != scatterer.ReasonFirst {
+		e.log.Info(logger.AttemptSent, "request", r.call.ID, "server", a.Server.ID, "domain", a.Server.Domain,
+			"part", a.Part, "reason", string(a.Reason), "expectedMillis", a.Expected.Milliseconds())
+	}
+	e.metrics.sent(a.Reason)
+	e.exchanges.Go(func() {
+		answer := e.client.exchange(ctx, r.call, r.outbound, a.Server, a.Deadline)
+		e.push(ending{attempt: a.Attempt, answer: answer})
+	})
+}
+
+func (e *engine) complete(a *scatterer.Complete) {
+	r := e.requests[a.Request]
+	answers := make([]*Answer, len(a.Attempts))
+	covered := 0
+	for i, attempt := range a.Attempts {
+		answers[i] = e.answers[a.Request][attempt]
+		if answers[i] != nil {
+			covered++
+		}
+	}
+	e.metrics.answered(r.route, a.Took, covered == len(answers))
+	if a.Early || covered < len(answers) {
+		e.log.Info(logger.RequestAnswered, "request", r.call.ID, "route", r.route.Name, "version", r.version,
+			"covered", covered, "parts", len(answers), "early", a.Early, "tookMillis", a.Took.Milliseconds())
+	}
+	r.reply <- reply{answers: answers}
+	e.forget(a.Request)
+}
+
+func (e *engine) refuse(a *scatterer.Refuse) {
+	r := e.requests[a.Request]
+	e.metrics.refused(a.Failure.Code)
+	e.log.Warn(logger.RequestRefused, "request", r.call.ID, "route", r.route.Name, "version", r.version,
+		"result", a.Failure.Code, "detail", a.Failure.Detail, "notRun", a.Failure.Code.NotRun(),
+		"retryAfterMillis", a.Failure.RetryAfter.Milliseconds(), "tookMillis", a.Took.Milliseconds())
+	r.reply <- reply{failure: a.Failure}
+	e.forget(a.Request)
+}
+
+func (e *engine) forget(id uint64) {
+	delete(e.requests, id)
+	delete(e.answers, id)
+}
+
+// list takes changes of the list of backend servers.
+func (e *engine) list(now time.Time, item *listing) {
+	if item.outage > 0 {
+		e.servers.StoreReturned(now)
+	}
+	var changed []string
+	if item.whole {
+		changed = e.servers.Replace(now, item.entries, item.revision)
+		e.listOnce.Do(func() { close(e.listed) })
+	} else {
+		changed = e.servers.Apply(now, item.entries)
+	}
+	var gone []string
+	for _, id := range changed {
+		if e.servers.Held(id) {
+			e.log.Debug(logger.ServerListed, "server", id)
+			continue
+		}
+		gone = append(gone, id)
+	}
+	e.unlist(gone, "listed so")
+	e.metrics.servers.Set(float64(e.servers.Usable()))
+}
+
+func (e *engine) unlist(ids []string, why string) {
+	for _, id := range ids {
+		e.log.Info(logger.ServerUnlisted, "server", id, "why", why)
+		e.machine.Forget(id)
+	}
+}
--- /dev/null
+++ b/internal/forwarder/forwarder.go
@@ -0,0 +1,153 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/storer"
+)
+
+const (
+	// noticeTime is how long a stopping host still takes connections: the
+	// balancer asks once a second and leaves a host out after two misses.
+	noticeTime = 2600 * time.Millisecond
+	// exitReserve is left of the grace time for the process to end.
+	exitReserve = 300 * time.Millisecond
+)
+
+// Config holds what a forwarder works with.
+type Config struct {
+	Settings  Settings
+	Store     storer.Store
+	Layout    Layout
+	Dialect   Dialect
+	Documents Documents
+	Merger    Merger
+	Logger    *logger.Logger
+}
+
+// Forwarder serves the callers of one host.
+type Forwarder struct {
+	cfg       Config
+	metrics   *counters
+	client    *client
+	engine    *engine
+	listeners []*listener.Listener
+	callers   *listener.Listener
+	workers   sync.WaitGroup
+	cancel    context.CancelFunc
+
+	table       atomic.Pointer[matcher.Table]
+	adopting    sync.Mutex
+	confirmed   atomic.Int64
+	lastRequest atomic.Uint64
+	stopping    atomic.Bool
+}
+
+// New opens the listeners and follows the store.
+func New(cfg Config) (*Forwarder, error) {
+	f := &Forwarder{cfg: cfg, metrics: newCounters(), client: newClient(cfg.Dialect)}
+	f.engine = newEngine(cfg, f.metrics, f.client)
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	err := f.listen()
+	if err != nil {
+		f.Close()
+		return nil, err
+	}
+	f.workers.Go(func() { f.follow(ctx, cfg.Layout.ConfigPrefix, f.takeConfig) })
+	f.workers.Go(func() { f.follow(ctx, cfg.Layout.ServerPrefix, f.takeServers) })
+	f.workers.Go(func() { f.joinAndCount(ctx) })
+	return f, nil
+}
+
+func (f *Forwarder) listen() error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/ready", f.serveReady)
+	exported := http.NewServeMux()
+	exported.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		f.metrics.set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	for address, handler := range map[string]http.Handler{
+		f.cfg.Settings.Listen.Readiness: mux,
+		f.cfg.Settings.Listen.Metrics:   exported,
+	} {
+		l, err := listener.New(listener.Config{Address: address, Handler: handler})
+		if err != nil {
+			return err
+		}
+		f.listeners = append(f.listeners, l)
+	}
+	l, err := listener.New(listener.Config{Address: f.cfg.Settings.Listen.Callers, Handler: f, Callers: true})
+	if err != nil {
+		return err
+	}
+	f.callers = l
+	return nil
+}
+
+// Ready reports whether the host can serve: it has a configuration and a list
+// of backend servers, and is not stopping.
+func (f *Forwarder) Ready() bool {
+	select {
+	case <-f.engine.listed:
+		return f.table.Load() != nil && !f.stopping.Load()
+	default:
+		return false
+	}
+}
+
+func (f *Forwarder) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !f.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// confirmedAt returns when the store last confirmed the configuration.
+func (f *Forwarder) confirmedAt() time.Time {
+	return time.Unix(0, f.confirmed.Load())
+}
+
+// Stop ends the host without cutting off requests: it is no longer ready,
+// serves on until the balancer has noticed, closes idle connections and waits
+// for what is in flight until the grace time or the context ends.
+func (f *Forwarder) Stop(ctx context.Context) error {
+	f.cfg.Logger.Info(logger.StopBegun, "inFlight", f.callers.InFlight())
+	begun := time.Now()
+	f.stopping.Store(true)
+	sleep(ctx, noticeTime)
+	ctx, cancel := context.WithDeadline(ctx, begun.Add(f.cfg.Settings.Grace.Value()-exitReserve))
+	defer cancel()
+	err := f.callers.Shutdown(ctx)
+	cut := f.callers.InFlight()
+	if err != nil && cut > 0 {
+		f.cfg.Logger.Error(logger.StopForced, "cutOff", cut)
+	} else {
+		err = nil
+		f.cfg.Logger.Info(logger.StopEnded, "tookMillis", time.Since(begun).Milliseconds())
+	}
+	f.Close()
+	return err
+}
+
+// Close ends everything at once and waits for it.
+func (f *Forwarder) Close() {
+	f.cancel()
+	f.workers.Wait()
+	if f.callers != nil {
+		_ = f.callers.Close()
+	}
+	for _, l := range f.listeners {
+		_ = l.Close()
+	}
+	f.engine.close()
+	f.client.close()
+}
--- /dev/null
+++ b/internal/forwarder/handler.go
@@ -0,0 +1,185 @@
+package forwarder
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
+)
+
+const (
+	// unconfiguredRetry is when a caller may come back to a host that has no configuration yet.
+	unconfiguredRetry = 300 * time.Millisecond
+	// staleAfter is the age of the last word of the store beyond which an
+	// unknown route may only be unknown here; well within the bound on configuration.
+	staleAfter = 2 * time.Second
+)
+
+// connectionHeaders concern one connection only and are not passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// ServeHTTP serves one request of a caller.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	a, failure := f.accept(w, r)
+	if failure != nil {
+		f.refuse(w, a, failure)
+		return
+	}
+	f.engine.push(a)
+	select {
+	case end := <-a.reply:
+		f.answer(w, a, end)
+	case <-r.Context().Done():
+		f.engine.push(abandonment{a.id})
+	}
+}
+
+// accept reads a request and finds its route.
+func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request) (*arrival, *classifier.Failure) {
+	a := &arrival{reply: make(chan reply, 1)}
+	table := f.table.Load()
+	if table == nil {
+		return a, classifier.NewFailure(classifier.NotConfigured, "").WithRetryAfter(unconfiguredRetry)
+	}
+	call, err := f.cfg.Dialect.Call(r)
+	a.call = call
+	if err != nil {
+		return a, classifier.NewFailure(classifier.InvalidRequest, "%v", err)
+	}
+	route, ok := table.Match(call.Host, r.URL.Path)
+	if !ok {
+		return a, f.unknown(table, call.Host, r.URL.Path)
+	}
+	a.route, a.version = route, table.Version()
+	body, failure := readBody(w, r, table.Limits().BodyBytes)
+	if failure != nil {
+		return a, failure
+	}
+	a.id = f.lastRequest.Add(1)
+	header := r.Header.Clone()
+	removeConnectionHeaders(header)
+	_, ok = header["User-Agent"]
+	if !ok {
+		header["User-Agent"] = nil
+	}
+	a.outbound = outbound{method: r.Method, url: r.URL, host: r.Host, header: header, body: body}
+	return a, nil
+}
+
+// unknown refuses a request without a route; where the configuration may be out
+// of date it is not said that there is none.
+func (f *Forwarder) unknown(table *matcher.Table, host, path string) *classifier.Failure {
+	if time.Since(f.confirmedAt()) > staleAfter {
+		return classifier.NewFailure(classifier.StaleRoutes, "%s%s, version %d", host, path, table.Version()).
+			WithRetryAfter(unconfiguredRetry)
+	}
+	return classifier.NewFailure(classifier.UnknownRoute, "%s%s, version %d", host, path, table.Version())
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *classifier.Failure) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	if limit > 0 {
+		r.Body = http.MaxBytesReader(w, r.Body, limit)
+	}
+	body, err := io.ReadAll(r.Body)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, classifier.NewFailure(classifier.BodyTooLarge, "limit %d bytes", limit)
+	case err != nil:
+		return nil, classifier.NewFailure(classifier.InvalidRequest, "body ends early: %v", err)
+	}
+	return body, nil
+}
+
+// removeConnectionHeaders removes what concerns one connection only.
+func removeConnectionHeaders(h http.Header) {
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		h.Del(name)
+	}
+}
+
+// refuse answers a request that never reached the engine.
+func (f *Forwarder) refuse(w http.ResponseWriter, a *arrival, failure *classifier.Failure) {
+	f.metrics.refused(failure.Code)
+	f.cfg.Logger.Warn(logger.RequestRefused, "request", a.call.ID, "result", failure.Code, "detail", failure.Detail,
+		"notRun", true, "retryAfterMillis", failure.RetryAfter.Milliseconds(),
+		"storeAgeMillis", time.Since(f.confirmedAt()).Milliseconds())
+	f.writeFailure(w, failure)
+}
+
+func (f *Forwarder) writeFailure(w http.ResponseWriter, failure *classifier.Failure) {
+	f.cfg.Dialect.Refuse(w.Header(), failure.RetryAfter)
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	text := failure.Error() + "\n"
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(failure.Code.Entry().Status)
+	_, _ = io.WriteString(w, text)
+}
+
+func (f *Forwarder) answer(w http.ResponseWriter, a *arrival, end reply) {
+	if end.failure != nil {
+		f.writeFailure(w, end.failure)
+		return
+	}
+	sharded, ok := a.route.Target.(*matcher.Sharded)
+	if ok {
+		f.writeMerged(w, sharded, end.answers)
+		return
+	}
+	writeAnswer(w, end.answers[0])
+}
+
+// writeAnswer passes the answer of one server on as it is.
+func writeAnswer(w http.ResponseWriter, a *Answer) {
+	h := w.Header()
+	removeConnectionHeaders(a.Header)
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	_, ok := h["Content-Type"]
+	if !ok {
+		h["Content-Type"] = nil
+	}
+	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
+
+// writeMerged writes the greatest rows of the shards that answered.
+func (f *Forwarder) writeMerged(w http.ResponseWriter, target *matcher.Sharded, answers []*Answer) {
+	proofs := make([]string, 0, len(answers))
+	bodies := make([][]byte, 0, len(answers))
+	for _, a := range answers {
+		if a != nil {
+			proofs = append(proofs, a.Proof)
+			bodies = append(bodies, a.Body)
+		}
+	}
+	body := f.cfg.Merger.Merge(bodies, target.Rows)
+	f.cfg.Dialect.Cover(w.Header(), proofs, len(answers)-len(proofs))
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/internal/forwarder/members.go
@@ -0,0 +1,84 @@
+package forwarder
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/storer"
+)
+
+const (
+	// memberInterval is how often the hosts are counted.
+	memberInterval = 5 * time.Second
+	// memberRetry is the delay after a failed call.
+	memberRetry = 500 * time.Millisecond
+	// unknownHosts is how many hosts are taken to share the extra attempts
+	// before the store has named them; the largest deployment planned for a
+	// site of today.
+	unknownHosts = 16
+)
+
+// member is the entry of a host in the store.
+type member struct {
+	Domain  string `json:"domain"`
+	Control string `json:"control"`
+}
+
+// joinAndCount writes the entry of this host, then counts the hosts until the context ends.
+func (f *Forwarder) joinAndCount(ctx context.Context) {
+	known := 0
+	joined := false
+	for ctx.Err() == nil {
+		n, err := f.countHosts(ctx, &joined)
+		if err != nil {
+			f.cfg.Logger.Warn(logger.MemberFailed, "joined", joined, "error", err)
+			sleep(ctx, memberRetry)
+			continue
+		}
+		if n != known {
+			f.cfg.Logger.Info(logger.HostsChanged, "hosts", n, "before", known)
+			known = n
+			f.metrics.hosts.Set(float64(n))
+			f.engine.push(hostCount{n})
+		}
+		sleep(ctx, memberInterval)
+	}
+}
+
+func (f *Forwarder) countHosts(ctx context.Context, joined *bool) (int, error) {
+	if !*joined {
+		err := f.join(ctx)
+		if err != nil {
+			return 0, err
+		}
+		*joined = true
+	}
+	page, err := f.cfg.Store.List(ctx, f.cfg.Layout.HostPrefix)
+	f.metrics.storeCall("list", err)
+	return len(page.Objects), err
+}
+
+// join writes the entry of this host unless it is there as it should be.
+func (f *Forwarder) join(ctx context.Context) error {
+	key := f.cfg.Layout.HostPrefix + f.cfg.Settings.Name
+	value, err := json.Marshal(member{Domain: f.cfg.Settings.Domain, Control: f.cfg.Settings.Listen.Control})
+	if err != nil {
+		return err
+	}
+	_, err = f.cfg.Store.Put(ctx, key, value, storer.Absent)
+	f.metrics.storeCall("put", err)
+	if !errors.Is(err, storer.ErrConflict) {
+		return err
+	}
+	held, err := f.cfg.Store.Get(ctx, key)
+	f.metrics.storeCall("get", err)
+	if err != nil || string(held.Value) == string(value) {
+		return err
+	}
+	_, err = f.cfg.Store.Put(ctx, key, value, held.Version)
+	f.metrics.storeCall("put", err)
+	return err
+}
--- /dev/null
+++ b/internal/forwarder/settings.go
@@ -0,0 +1,153 @@
+package forwarder
+
+import (
+	"errors"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/placer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/decoder"
+)
+
+const (
+	// answerMargin is the way of an answer to the farthest callers, 3 ms each
+	// way with a new connection, and the time to merge and write it.
+	answerMargin = 14 * time.Millisecond
+	// hedgeFraction is the part of the objective at which a late shard still
+	// leaves time for a second attempt.
+	hedgeFraction = 0.25
+	// extraReserve is the part of the shared extra attempts that is planned
+	// with; the rest covers hosts that are not known yet.
+	extraReserve = 0.8
+	// foreignCost weighs the price of bytes between failure domains.
+	foreignCost = 0.3
+	// queueCost is what a request in front adds to the time at a server of two slots.
+	queueCost = 2
+	// latencyMemory is some pauses of a server, after which a latency says little.
+	latencyMemory = 1500 * time.Millisecond
+	// reportLife is a few times the usual work, in which a queue drains.
+	reportLife = 60 * time.Millisecond
+	// retention is the time within which lapsed entries are back after the store returns.
+	retention = 2 * time.Second
+	// StoreCallTimeout is some hundred times the usual answer time of the store,
+	// and leaves a second try within the bound on configuration.
+	StoreCallTimeout = 900 * time.Millisecond
+	// WatchWait bounds how long a connection that has gone silent goes unnoticed.
+	WatchWait = time.Second
+)
+
+// Settings are the settings of a host that forwards by the platform's configuration.
+type Settings struct {
+	// Name and Domain name the host and its failure domain.
+	Name   string `json:"name"`
+	Domain string `json:"domain"`
+	Listen Listen `json:"listen"`
+	// Seeds are control addresses of hosts that may be up.
+	Seeds []string `json:"seeds"`
+	// Store is the address of the platform's store.
+	Store string `json:"store"`
+	Extra Extra  `json:"extra"`
+	// Grace is the time from SIGTERM until the platform kills the process.
+	Grace decoder.Duration `json:"grace"`
+	Log   Log              `json:"log"`
+}
+
+// Listen holds the addresses of a host, each an IP number with a port.
+type Listen struct {
+	Callers   string `json:"callers"`
+	Readiness string `json:"readiness"`
+	Control   string `json:"control"`
+	Metrics   string `json:"metrics"`
+}
+
+// Extra bounds the second attempts of all hosts together.
+type Extra struct {
+	// Ratio is the part of the requests to a service, Burst a number on top.
+	Ratio float64 `json:"ratio"`
+	Burst float64 `json:"burst"`
+}
+
+// Log holds the settings of the log on standard output.
+type Log struct {
+	logger.Config
+	// BytesPerSecond bounds the volume.
+	BytesPerSecond int `json:"bytesPerSecond"`
+}
+
+// LoadSettings reads a settings file; errors name file, line, column, field and what is allowed.
+func LoadSettings(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, err
+	}
+	return ParseSettings(file, data)
+}
+
+// ParseSettings decodes and checks settings.
+func ParseSettings(file string, data []byte) (Settings, error) {
+	s, err := decoder.Document[Settings](file, data)
+	if err != nil {
+		return Settings{}, err
+	}
+	c := &settingsChecker{file: file, data: data}
+	c.check(s)
+	return s, errors.Join(c.problems...)
+}
+
+type settingsChecker struct {
+	file     string
+	data     []byte
+	problems []error
+}
+
+func (c *settingsChecker) check(s Settings) {
+	c.that(s.Name != "", "missing", "a name", "name")
+	c.that(s.Domain != "", "missing", "a name", "domain")
+	c.address(s.Listen.Callers, "listen", "callers")
+	c.address(s.Listen.Readiness, "listen", "readiness")
+	c.address(s.Listen.Control, "listen", "control")
+	c.address(s.Listen.Metrics, "listen", "metrics")
+	c.address(s.Store, "store")
+	c.that(s.Extra.Ratio >= 0 && s.Extra.Ratio <= 1, "out of range", "0 to 1", "extra", "ratio")
+	c.that(s.Extra.Burst >= 0, "negative", "0 or more", "extra", "burst")
+	c.that(s.Grace.Value() > 0, "no positive duration", `a duration such as "6s"`, "grace")
+	c.that(s.Log.BytesPerSecond > 0, "not positive", "1 or more", "log", "bytesPerSecond")
+	err := s.Log.Check()
+	if err != nil {
+		c.that(false, err.Error(), "", "log")
+	}
+}
+
+func (c *settingsChecker) address(value string, path ...any) {
+	c.that(listener.CheckAddress(value) == nil, strconv.Quote(value)+" is no address",
+		"an IP number with a port, such as 127.0.0.1:8080", path...)
+}
+
+func (c *settingsChecker) that(ok bool, problem, allowed string, path ...any) {
+	if ok {
+		return
+	}
+	line, column := decoder.Locate(c.data, path...)
+	c.problems = append(c.problems, &decoder.PlaceError{
+		File: c.file, Line: line, Column: column, Field: decoder.FieldName(path...), Problem: problem, Allowed: allowed,
+	})
+}
+
+// scatterer returns the settings of the machine that carries requests.
+func (s Settings) scatterer() scatterer.Config {
+	return scatterer.Config{
+		Placer: placer.Config{
+			Domain: s.Domain, ForeignCost: foreignCost, QueueCost: queueCost,
+			ReportLife: reportLife, Memory: latencyMemory,
+		},
+		AnswerMargin:  answerMargin,
+		HedgeFraction: hedgeFraction,
+		ExtraRatio:    extraReserve * s.Extra.Ratio,
+		ExtraBurst:    extraReserve * s.Extra.Burst,
+		Hosts:         unknownHosts,
+	}
+}
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -42,6 +42,28 @@
 	ConsoleRequest Event = 402
 )
 
+// The events of a host that forwards requests by the routes of the platform.
+const (
+	RequestAnswered  Event = 500
+	RequestRefused   Event = 501
+	RequestAbandoned Event = 502
+	AttemptSent      Event = 510
+	AttemptFailed    Event = 511
+	RoutesAdopted    Event = 520
+	RoutesRejected   Event = 521
+	ServerListed     Event = 522
+	ServerUnlisted   Event = 523
+	EntryRejected    Event = 524
+	StoreLost        Event = 530
+	StoreRegained    Event = 531
+	HostsChanged     Event = 532
+	MemberFailed     Event = 533
+	PeerAsked        Event = 534
+	SettingsReloaded Event = 540
+	SettingsRejected Event = 541
+	LinesDropped     Event = 550
+)
+
 // Entry is one row of the catalogue of log events.
 type Entry struct {
 	Event   Event
@@ -73,6 +95,24 @@
 	{ChangeAccepted, "changeAccepted", "A change of configuration was accepted."},
 	{ChangeRejected, "changeRejected", "A change of configuration was rejected."},
 	{ConsoleRequest, "consoleRequest", "The console served a request."},
+	{RequestAnswered, "requestAnswered", "A request was answered; early if shards were left out for the objective."},
+	{RequestRefused, "requestRefused", "A request ended without an answer of a backend server."},
+	{RequestAbandoned, "requestAbandoned", "The caller left before the answer."},
+	{AttemptSent, "attemptSent", "A second or later attempt was sent to a backend server, with the reason."},
+	{AttemptFailed, "attemptFailed", "An attempt at a backend server ended without a usable answer."},
+	{RoutesAdopted, "routesAdopted", "A newer configuration is in force on this host."},
+	{RoutesRejected, "routesRejected", "A configuration could not be used; the one before stays in force."},
+	{ServerListed, "serverListed", "A backend server may get new work."},
+	{ServerUnlisted, "serverUnlisted", "A backend server gets no new work: it drains, left or lapsed."},
+	{EntryRejected, "entryRejected", "An entry of the list of backend servers names no usable server."},
+	{StoreLost, "storeLost", "The store does not answer; the host goes on with what it has."},
+	{StoreRegained, "storeRegained", "The store answers again."},
+	{HostsChanged, "hostsChanged", "The number of hosts that share the extra attempts has changed."},
+	{MemberFailed, "memberFailed", "The entry of this host in the store could not be written or read."},
+	{PeerAsked, "peerAsked", "A peer was asked for the objects that this host lacks."},
+	{SettingsReloaded, "settingsReloaded", "The settings file has changed and is in force."},
+	{SettingsRejected, "settingsRejected", "The changed settings file is invalid; the settings before stay."},
+	{LinesDropped, "linesDropped", "Log lines were dropped to bound the volume."},
 }
 
 // Catalogue returns all log events in ascending order.
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -19,6 +19,8 @@
 	writeTimeout   = 5 * time.Minute
 	idleTimeout    = 90 * time.Second
 	maxHeaderBytes = 16 << 10
+	// callerIdleTimeout is above the idle time that any configuration promises to callers.
+	callerIdleTimeout = 5 * time.Minute
 )
 
 // Config holds the settings of a listener.
@@ -28,6 +30,8 @@
 	Handler http.Handler
 	// Streams lifts the limit on the time of one exchange, for watches and streams.
 	Streams bool
+	// Callers serves HTTP/1.1 only, to callers that may stay idle for longer.
+	Callers bool
 }
 
 // OpenError is the error of a socket that could not be opened.
@@ -92,6 +96,10 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	if cfg.Callers {
+		protocols.SetUnencryptedHTTP2(false)
+		server.IdleTimeout = callerIdleTimeout
+	}
 	if !cfg.Streams {
 		server.ReadTimeout = readTimeout
 		server.WriteTimeout = writeTimeout
--- a/pkg/coordination/limiter/budget.go
+++ b/pkg/coordination/limiter/budget.go
@@ -32,3 +32,11 @@
 	b.tokens--
 	return true
 }
+
+// WithCapacity returns a budget with another capacity that keeps its tokens as
+// far as they fit.
+func (b Budget) WithCapacity(capacity float64) Budget {
+	b.capacity = capacity
+	b.tokens = min(b.tokens, capacity)
+	return b
+}
--- /dev/null
+++ b/pkg/coordination/placer/placer.go
@@ -0,0 +1,316 @@
+package placer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
+)
+
+const (
+	// smoothing is the weight of a new latency in the moving average.
+	smoothing = 0.3
+	// factorMax bounds how slow a server is taken to be.
+	factorMax = 40
+	// failureSmoothing is the weight of a new outcome in the failure rate.
+	failureSmoothing = 0.25
+	// failureCost is how many times the usual work a certain failure costs.
+	failureCost = 8
+	// suspendAfter is the number of failures in a row that suspend a server.
+	suspendAfter = 3
+	// suspensionMin and suspensionMax bound the time between single tries of a suspended server.
+	suspensionMin = 250 * time.Millisecond
+	suspensionMax = 2 * time.Second
+	// domainServers is how many servers of a failure domain must be silent in a
+	// row before the domain is taken to be cut off.
+	domainServers = 4
+	// domainRetry is the time between single tries into a failure domain that seems cut off.
+	domainRetry = 300 * time.Millisecond
+)
+
+// Config holds the settings of a placer.
+type Config struct {
+	// Domain is the failure domain of this host.
+	Domain string
+	// ForeignCost is the part by which a server of another failure domain must be faster.
+	ForeignCost float64
+	// QueueCost is what each request in front costs, in parts of the usual work.
+	QueueCost float64
+	// ReportLife is how long a load report counts.
+	ReportLife time.Duration
+	// Memory is how long a latency counts after it was seen.
+	Memory time.Duration
+}
+
+// Outcome is how an attempt at a server ended.
+type Outcome int
+
+const (
+	// Answered means that the server gave a whole answer.
+	Answered Outcome = iota
+	// Rejected means that the server was full and did not run the request.
+	Rejected
+	// Failed means an error of the server or of the connection.
+	Failed
+	// Silent means that no answer came before the attempt was given up.
+	Silent
+	// Misplaced means that another server has the address.
+	Misplaced
+	// Withdrawn means that the attempt was given up early and says nothing.
+	Withdrawn
+)
+
+// Load is what a server reports of itself with an answer.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+	// Pace is how long work takes there at this moment; 1 is as usual, 0 is not reported.
+	Pace float64
+}
+
+// Result ends an attempt.
+type Result struct {
+	Outcome Outcome
+	// Latency is the time since the send, Work the usual time of such a request.
+	Latency time.Duration
+	Work    time.Duration
+	// Load is nil if the server reported none.
+	Load *Load
+}
+
+// server is what this host has seen of one backend server.
+type server struct {
+	domain   string
+	sent     []time.Time
+	factor   float64
+	observed time.Time
+	failures float64
+	failed   time.Time
+	inARow   int
+	// suspended is until when the server gets no work but where none other is left.
+	suspended time.Time
+	pause     time.Duration
+	misplaced bool
+	load      Load
+	reported  time.Time
+}
+
+// domain is what this host has seen of one failure domain.
+type domain struct {
+	silent map[string]bool
+	tried  time.Time
+}
+
+// Placer holds the observations of all backend servers.
+type Placer struct {
+	cfg     Config
+	servers map[string]*server
+	domains map[string]*domain
+}
+
+// New returns a placer without observations.
+func New(cfg Config) *Placer {
+	return &Placer{cfg: cfg, servers: make(map[string]*server), domains: make(map[string]*domain)}
+}
+
+func (p *Placer) server(s *lister.Server) *server {
+	held := p.servers[s.ID]
+	if held == nil {
+		held = &server{domain: s.Domain, factor: 1}
+		p.servers[s.ID] = held
+	}
+	return held
+}
+
+func (p *Placer) domain(name string) *domain {
+	d := p.domains[name]
+	if d == nil {
+		d = &domain{silent: make(map[string]bool)}
+		p.domains[name] = d
+	}
+	return d
+}
+
+// Forget drops the observations of a server that has nothing in flight.
+func (p *Placer) Forget(id string) {
+	held := p.servers[id]
+	if held != nil && len(held.sent) == 0 {
+		delete(p.servers, id)
+	}
+}
+
+// Choice is a server with the time in which an answer is expected.
+type Choice struct {
+	Server   *lister.Server
+	Expected time.Duration
+	// Doubtful means that the server is suspended or seems cut off.
+	Doubtful bool
+}
+
+// Choose returns the server with the earliest expected answer that is not
+// excluded, or false if there is none; work is the usual time of the request.
+func (p *Placer) Choose(now time.Time, candidates []*lister.Server, excluded []string, work time.Duration) (Choice, bool) {
+	var best Choice
+	found := false
+	for _, candidate := range candidates {
+		held := p.server(candidate)
+		if held.misplaced || slices.Contains(excluded, candidate.ID) {
+			continue
+		}
+		choice := Choice{
+			Server:   candidate,
+			Expected: p.expect(now, candidate, held, work),
+			Doubtful: p.suspended(now, held) || p.cutOff(now, held),
+		}
+		if !found || choice.before(best) {
+			best, found = choice, true
+		}
+	}
+	return best, found
+}
+
+// before orders choices: those without doubt first, then by the expected answer.
+func (c Choice) before(other Choice) bool {
+	if c.Doubtful != other.Doubtful {
+		return !c.Doubtful
+	}
+	return c.Expected < other.Expected
+}
+
+// Available reports whether a server other than those excluded may be chosen without doubt.
+func (p *Placer) Available(now time.Time, candidates []*lister.Server, excluded []string) bool {
+	choice, ok := p.Choose(now, candidates, excluded, time.Millisecond)
+	return ok && !choice.Doubtful
+}
+
+// expect returns the time in which the server is expected to answer.
+func (p *Placer) expect(now time.Time, s *lister.Server, held *server, work time.Duration) time.Duration {
+	factor := held.factor
+	if now.Sub(held.observed) > p.cfg.Memory {
+		factor = 1
+	}
+	cost := float64(work) * factor * (1 + p.cfg.QueueCost*p.queue(now, s, held))
+	if now.Sub(held.failed) <= p.cfg.Memory {
+		cost += failureCost * held.failures * float64(work)
+	}
+	if len(held.sent) > 0 {
+		// A request that is out for longer than usual tells of a pause before any answer does.
+		age := float64(now.Sub(held.sent[0]))
+		if age > 2*float64(work)*factor {
+			cost += age
+		}
+	}
+	if held.domain != p.cfg.Domain {
+		cost *= 1 + p.cfg.ForeignCost
+	}
+	return time.Duration(cost)
+}
+
+// queue estimates the requests in front of a new one, in those of a server of two slots.
+func (p *Placer) queue(now time.Time, s *lister.Server, held *server) float64 {
+	own := float64(len(held.sent))
+	slots := float64(max(s.Slots, 1))
+	age := now.Sub(held.reported)
+	if held.reported.IsZero() || age >= p.cfg.ReportLife {
+		return own * 2 / slots
+	}
+	fresh := 1 - float64(age)/float64(p.cfg.ReportLife)
+	others := float64(held.load.Running+held.load.Waiting) * fresh
+	return max(own, others) * 2 / slots
+}
+
+func (p *Placer) suspended(now time.Time, held *server) bool {
+	if held.inARow < suspendAfter {
+		return false
+	}
+	// One try at a time once the suspension is over.
+	return now.Before(held.suspended) || len(held.sent) > 0
+}
+
+// cutOff reports whether the failure domain of a server seems cut off; now and
+// then it lets one try through.
+func (p *Placer) cutOff(now time.Time, held *server) bool {
+	if held.domain == p.cfg.Domain {
+		return false
+	}
+	d := p.domain(held.domain)
+	return len(d.silent) >= domainServers && now.Sub(d.tried) < domainRetry
+}
+
+// Sent notes a send to a server.
+func (p *Placer) Sent(now time.Time, s *lister.Server) {
+	held := p.server(s)
+	held.sent = append(held.sent, now)
+	d := p.domain(held.domain)
+	if len(d.silent) >= domainServers && now.Sub(d.tried) >= domainRetry {
+		d.tried = now
+	}
+}
+
+// Ended notes the end of an attempt that was sent at a time.
+func (p *Placer) Ended(now time.Time, id string, sent time.Time, result Result) {
+	held := p.servers[id]
+	if held == nil {
+		return
+	}
+	i := slices.IndexFunc(held.sent, sent.Equal)
+	if i >= 0 {
+		held.sent = slices.Delete(held.sent, i, i+1)
+	}
+	if result.Load != nil {
+		held.load, held.reported = *result.Load, now
+	}
+	switch result.Outcome {
+	case Answered:
+		p.answered(now, held, result)
+	case Rejected:
+		held.load, held.reported = Load{Running: 1, Waiting: 2}, now
+	case Failed:
+		held.fail(now)
+	case Silent:
+		held.observe(now, result, p.cfg.Memory)
+		p.domain(held.domain).silent[id] = true
+	case Misplaced:
+		held.misplaced = true
+	case Withdrawn:
+	}
+}
+
+func (p *Placer) answered(now time.Time, held *server, result Result) {
+	held.observe(now, result, p.cfg.Memory)
+	held.inARow = 0
+	held.pause = 0
+	held.failures -= failureSmoothing * held.failures
+	clear(p.domain(held.domain).silent)
+}
+
+// observe moves the average by one latency.
+func (s *server) observe(now time.Time, result Result, memory time.Duration) {
+	factor := min(float64(result.Latency)/float64(max(result.Work, time.Microsecond)), factorMax)
+	if now.Sub(s.observed) > memory {
+		s.factor = 1
+	}
+	s.factor += smoothing * (factor - s.factor)
+	s.observed = now
+}
+
+// fail notes a failure and suspends the server after some in a row.
+func (s *server) fail(now time.Time) {
+	s.failures += failureSmoothing * (1 - s.failures)
+	s.failed = now
+	s.inARow++
+	if s.inARow >= suspendAfter {
+		s.pause = min(max(2*s.pause, suspensionMin), suspensionMax)
+		s.suspended = now.Add(s.pause)
+	}
+}
+
+// InFlight returns the number of attempts at a server that have not ended.
+func (p *Placer) InFlight(id string) int {
+	held := p.servers[id]
+	if held == nil {
+		return 0
+	}
+	return len(held.sent)
+}
--- /dev/null
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -0,0 +1,529 @@
+package scatterer
+
+import (
+	"time"
+
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/limiter"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/placer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/waker"
+)
+
+const (
+	// workShare is the part of the objective taken as usual work before any sample.
+	workShare = 8
+	// workSmoothing is the weight of a new latency in the usual work of a route.
+	workSmoothing = 0.05
+	// marginMax bounds the answer margin, as a part of the objective.
+	marginMax = 0.3
+	// extraSends is how many attempts beyond those of the route a sub-request
+	// may have where servers refused without running it.
+	extraSends = 2
+	// noServerRetry is when a caller may come back to a service without usable servers.
+	noServerRetry = 500 * time.Millisecond
+	// overloadRetry is the least time after which a refused caller may come back.
+	overloadRetry = 50 * time.Millisecond
+)
+
+// attempt is one sub-request at one server.
+type attempt struct {
+	id     uint64
+	flight *flight
+	part   int
+	server *lister.Server
+	sent   time.Time
+}
+
+// part is one shard of a request, or the only service of one.
+type part struct {
+	service string
+	tried   []string
+	open    []*attempt
+	// runs counts the attempts that may have run.
+	runs int
+	// answered is the attempt with the whole answer, or with a final failure.
+	answered uint64
+	code     classifier.Code
+	settled  bool
+}
+
+// flight is a request that has no answer yet.
+type flight struct {
+	id       uint64
+	route    *matcher.Route
+	stats    *routeStats
+	parts    []part
+	sharded  bool
+	coverage float64
+	covered  int
+	settled  int
+	ran      bool
+	arrived  time.Time
+	hedgeAt  time.Time
+	answerBy time.Time
+	deadline time.Time
+	alarm    waker.Alarm[*flight]
+}
+
+// routeStats is what is known of the requests of one route.
+type routeStats struct {
+	work    float64
+	weights map[string]float64
+}
+
+// routeKey names a route over changes of the configuration.
+type routeKey struct {
+	host, prefix string
+}
+
+// Machine carries the requests of one host.
+type Machine struct {
+	cfg       Config
+	directory Directory
+	placer    *placer.Placer
+	flights   map[uint64]*flight
+	attempts  map[uint64]*attempt
+	routes    map[routeKey]*routeStats
+	budgets   map[string]*limiter.Budget
+	last      uint64
+	alarms    waker.Alarms[*flight]
+	out       []Action
+}
+
+// New returns a machine that finds servers in the given directory.
+func New(cfg Config, directory Directory) *Machine {
+	return &Machine{
+		cfg:       cfg,
+		directory: directory,
+		placer:    placer.New(cfg.Placer),
+		flights:   make(map[uint64]*flight),
+		attempts:  make(map[uint64]*attempt),
+		routes:    make(map[routeKey]*routeStats),
+		budgets:   make(map[string]*limiter.Budget),
+	}
+}
+
+// SetHosts changes the number of hosts that share the extra attempts.
+func (m *Machine) SetHosts(hosts int) {
+	m.cfg.Hosts = max(hosts, 1)
+	for _, budget := range m.budgets {
+		*budget = budget.WithCapacity(m.burst())
+	}
+}
+
+// Forget drops what was seen of a server that is no longer listed.
+func (m *Machine) Forget(id string) {
+	m.placer.Forget(id)
+}
+
+// Len returns the number of requests in flight.
+func (m *Machine) Len() int {
+	return len(m.flights)
+}
+
+// Wake returns when the machine wants a Woken event, or false if never.
+func (m *Machine) Wake() (time.Time, bool) {
+	return m.alarms.Next()
+}
+
+// Step applies an event and returns the actions, which are valid until the next Step.
+func (m *Machine) Step(now time.Time, event Event) []Action {
+	m.out = m.out[:0]
+	switch e := event.(type) {
+	case *Arrived:
+		m.arrived(now, e)
+	case *Ended:
+		m.ended(now, e)
+	case *Abandoned:
+		f := m.flights[e.Request]
+		if f != nil {
+			m.close(now, f)
+		}
+	case *Woken:
+		m.woken(now)
+	}
+	return m.out
+}
+
+func (m *Machine) arrived(now time.Time, e *Arrived) {
+	f := m.newFlight(now, e)
+	for i := range f.parts {
+		// Requests are counted for each service, whether or not they are sent.
+		m.budget(f.parts[i].service).Earn(1)
+	}
+	m.flights[f.id] = f
+	for i := range f.parts {
+		p := &f.parts[i]
+		choice, ok := m.choose(now, f, p)
+		if !ok {
+			m.settle(f, p, classifier.NoServer)
+			continue
+		}
+		m.send(now, f, i, choice, ReasonFirst)
+	}
+	m.conclude(now, f)
+}
+
+func (m *Machine) newFlight(now time.Time, e *Arrived) *flight {
+	route := e.Route
+	f := &flight{id: e.Request, route: route, arrived: now, coverage: 1, stats: m.routeStats(route)}
+	f.deadline = now.Add(min(e.Left-m.margin(e.Left), route.Timeout))
+	f.answerBy = earliest(now.Add(route.Objective-m.margin(route.Objective)), f.deadline)
+	f.hedgeAt = now.Add(time.Duration(m.cfg.HedgeFraction * float64(route.Objective)))
+	f.alarm.Owner = f
+	switch target := route.Target.(type) {
+	case *matcher.Single:
+		f.parts = []part{{service: target.Service}}
+	case *matcher.Weighted:
+		f.parts = []part{{service: f.stats.next(target)}}
+	case *matcher.Sharded:
+		f.sharded = true
+		f.coverage = target.MinCoverage
+		f.parts = make([]part, len(target.Services))
+		for i, service := range target.Services {
+			f.parts[i].service = service
+		}
+	}
+	return f
+}
+
+// margin returns the part of a limit that is left for the way to the caller.
+func (m *Machine) margin(limit time.Duration) time.Duration {
+	return min(m.cfg.AnswerMargin, time.Duration(marginMax*float64(limit)))
+}
+
+func (m *Machine) routeStats(route *matcher.Route) *routeStats {
+	key := routeKey{route.Host, route.Prefix}
+	stats := m.routes[key]
+	if stats == nil {
+		stats = &routeStats{work: float64(route.Objective) / workShare, weights: make(map[string]float64)}
+		m.routes[key] = stats
+	}
+	return stats
+}
+
+// next chooses a service by smooth weighted round robin, which keeps to the
+// weights over any few requests.
+func (s *routeStats) next(target *matcher.Weighted) string {
+	total := 0.0
+	chosen := ""
+	for _, share := range target.Shares {
+		if share.Weight <= 0 {
+			continue
+		}
+		total += share.Weight
+		s.weights[share.Service] += share.Weight
+		if chosen == "" || s.weights[share.Service] > s.weights[chosen] {
+			chosen = share.Service
+		}
+	}
+	s.weights[chosen] -= total
+	return chosen
+}
+
+func (m *Machine) choose(now time.Time, f *flight, p *part) (placer.Choice, bool) {
+	return m.placer.Choose(now, m.directory.Servers(p.service), p.tried, time.Duration(f.stats.work))
+}
+
+func (m *Machine) send(now time.Time, f *flight, i int, choice placer.Choice, reason Reason) {
+	p := &f.parts[i]
+	m.last++
+	a := &attempt{id: m.last, flight: f, part: i, server: choice.Server, sent: now}
+	m.attempts[a.id] = a
+	p.open = append(p.open, a)
+	p.tried = append(p.tried, choice.Server.ID)
+	p.runs++
+	m.placer.Sent(now, choice.Server)
+	m.out = append(m.out, &Send{
+		Request: f.id, Attempt: a.id, Part: i, Server: choice.Server, Reason: reason,
+		Expected: choice.Expected, Deadline: f.deadline,
+	})
+}
+
+func (m *Machine) ended(now time.Time, e *Ended) {
+	a := m.attempts[e.Attempt]
+	if a == nil {
+		return
+	}
+	f := a.flight
+	p := &f.parts[a.part]
+	m.release(now, a, outcomeOf(e.Code), e.Load)
+	if e.Code.NotRun() {
+		p.runs--
+	} else {
+		f.ran = true
+	}
+	switch {
+	case p.settled:
+		return
+	case e.Code == classifier.OK:
+		f.stats.work += workSmoothing * (float64(now.Sub(a.sent)) - f.stats.work)
+		m.answer(now, f, p, a.id)
+	default:
+		m.failed(now, f, a, e)
+	}
+	m.conclude(now, f)
+}
+
+func outcomeOf(code classifier.Code) placer.Outcome {
+	switch code {
+	case classifier.OK:
+		return placer.Answered
+	case classifier.ServerShed, classifier.ConnectionQuota:
+		return placer.Rejected
+	case classifier.WrongServer:
+		return placer.Misplaced
+	case classifier.Canceled:
+		return placer.Withdrawn
+	case classifier.DeadlineExceeded:
+		return placer.Silent
+	default:
+		return placer.Failed
+	}
+}
+
+// release takes an attempt out of the books.
+func (m *Machine) release(now time.Time, a *attempt, outcome placer.Outcome, load *placer.Load) {
+	delete(m.attempts, a.id)
+	p := &a.flight.parts[a.part]
+	for i, open := range p.open {
+		if open == a {
+			p.open = append(p.open[:i], p.open[i+1:]...)
+			break
+		}
+	}
+	m.placer.Ended(now, a.server.ID, a.sent, placer.Result{
+		Outcome: outcome, Latency: now.Sub(a.sent), Work: time.Duration(a.flight.stats.work), Load: load,
+	})
+}
+
+// answer settles a part with an attempt and withdraws the others.
+func (m *Machine) answer(now time.Time, f *flight, p *part, attempt uint64) {
+	p.answered = attempt
+	f.covered++
+	m.settle(f, p, classifier.OK)
+	m.withdraw(now, f, p)
+}
+
+func (m *Machine) settle(f *flight, p *part, code classifier.Code) {
+	p.settled = true
+	p.code = code
+	f.settled++
+}
+
+// withdraw cancels the open attempts of a part; one that is out for longer than
+// usual counts as silent.
+func (m *Machine) withdraw(now time.Time, f *flight, p *part) {
+	for len(p.open) > 0 {
+		a := p.open[0]
+		outcome := placer.Withdrawn
+		if float64(now.Sub(a.sent)) > 2*f.stats.work {
+			outcome = placer.Silent
+		}
+		m.release(now, a, outcome, nil)
+		m.out = append(m.out, &Cancel{Attempt: a.id})
+	}
+}
+
+// failed retries a failed attempt elsewhere or settles the part.
+func (m *Machine) failed(now time.Time, f *flight, a *attempt, e *Ended) {
+	p := &f.parts[a.part]
+	p.code = e.Code
+	if e.Final {
+		p.answered = a.id
+	}
+	if len(p.open) > 0 {
+		return
+	}
+	code := m.retry(now, f, a.part, e)
+	if code != classifier.OK {
+		m.settle(f, p, code)
+	}
+}
+
+// retry sends a part to another server, or returns why it can't.
+func (m *Machine) retry(now time.Time, f *flight, i int, e *Ended) classifier.Code {
+	p := &f.parts[i]
+	mayRepeat := f.route.Repeatable || e.Code.NotRun()
+	if !mayRepeat || p.runs >= f.route.Attempts || len(p.tried) >= f.route.Attempts+extraSends || !now.Before(f.deadline) {
+		return e.Code
+	}
+	choice, ok := m.choose(now, f, p)
+	if !ok || choice.Doubtful {
+		return e.Code
+	}
+	if !m.budget(p.service).Spend() {
+		return e.Code
+	}
+	m.send(now, f, i, choice, ReasonRetry)
+	return classifier.OK
+}
+
+// conclude ends a request that has all it can get, or sets its next alarm.
+func (m *Machine) conclude(now time.Time, f *flight) {
+	total := len(f.parts)
+	enough := float64(f.covered) >= f.coverage*float64(total)-1e-9 && f.covered > 0
+	missing := f.settled - f.covered
+	lost := float64(total-missing) < f.coverage*float64(total)-1e-9
+	switch {
+	case f.settled == total && enough:
+		m.complete(now, f, false)
+	case lost || (f.settled == total):
+		m.fail(now, f)
+	case enough && !now.Before(f.answerBy):
+		m.complete(now, f, true)
+	case !now.Before(f.deadline):
+		m.expire(now, f)
+	default:
+		m.arm(now, f)
+	}
+}
+
+func (m *Machine) arm(now time.Time, f *flight) {
+	next := f.deadline
+	if f.hedgeAt.After(now) && f.hedgeAt.Before(next) {
+		next = f.hedgeAt
+	}
+	if f.answerBy.After(now) && f.answerBy.Before(next) {
+		next = f.answerBy
+	}
+	m.alarms.Set(&f.alarm, next)
+}
+
+func (m *Machine) woken(now time.Time) {
+	for {
+		alarm := m.alarms.Due(now)
+		if alarm == nil {
+			return
+		}
+		f := alarm.Owner
+		m.alarms.Clear(&f.alarm)
+		if !f.hedgeAt.IsZero() && !now.Before(f.hedgeAt) {
+			f.hedgeAt = time.Time{}
+			m.hedge(now, f)
+		}
+		m.conclude(now, f)
+	}
+}
+
+// hedge sends second attempts for the parts that are late.
+func (m *Machine) hedge(now time.Time, f *flight) {
+	if !f.route.Repeatable {
+		return
+	}
+	for i := range f.parts {
+		p := &f.parts[i]
+		if p.settled || len(p.open) != 1 || p.runs >= f.route.Attempts {
+			continue
+		}
+		choice, ok := m.choose(now, f, p)
+		if !ok || choice.Doubtful || !now.Add(choice.Expected).Before(f.deadline) {
+			continue
+		}
+		if m.budget(p.service).Spend() {
+			m.send(now, f, i, choice, ReasonLate)
+		}
+	}
+}
+
+func (m *Machine) complete(now time.Time, f *flight, early bool) {
+	answers := make([]uint64, len(f.parts))
+	for i := range f.parts {
+		if f.parts[i].code == classifier.OK && f.parts[i].settled {
+			answers[i] = f.parts[i].answered
+		}
+	}
+	m.close(now, f)
+	m.out = append(m.out, &Complete{Request: f.id, Attempts: answers, Early: early, Took: now.Sub(f.arrived)})
+}
+
+// fail ends a request that can't be served: with the server's own answer where
+// there is one and no merge is due, else with the code that says least about
+// the request not having run.
+func (m *Machine) fail(now time.Time, f *flight) {
+	if !f.sharded && f.parts[0].answered != 0 {
+		m.close(now, f)
+		m.out = append(m.out, &Complete{Request: f.id, Attempts: []uint64{f.parts[0].answered}, Took: now.Sub(f.arrived)})
+		return
+	}
+	code := classifier.Code(0)
+	for i := range f.parts {
+		p := &f.parts[i]
+		if p.settled && p.code != classifier.OK {
+			if code == 0 {
+				code = p.code
+			}
+			code = classifier.Worse(code, p.code)
+		}
+	}
+	m.refuse(now, f, code)
+}
+
+// expire ends a request whose time is over.
+func (m *Machine) expire(now time.Time, f *flight) {
+	m.refuse(now, f, classifier.DeadlineExceeded)
+}
+
+// refuse ends a request with a code that holds for the whole of it: "not run"
+// is said only if no attempt may have run.
+func (m *Machine) refuse(now time.Time, f *flight, code classifier.Code) {
+	mayRun := f.ran
+	for i := range f.parts {
+		mayRun = mayRun || len(f.parts[i].open) > 0
+	}
+	if mayRun && code.NotRun() {
+		code = classifier.ServerFailed
+	}
+	failure := classifier.NewFailure(code, "%d of %d parts", f.covered, len(f.parts))
+	if code.NotRun() {
+		failure = failure.WithRetryAfter(m.comeBack(now, f))
+	}
+	m.close(now, f)
+	m.out = append(m.out, &Refuse{Request: f.id, Failure: failure, Took: now.Sub(f.arrived)})
+}
+
+// comeBack returns when a retry of the request would be served, as far as known.
+func (m *Machine) comeBack(now time.Time, f *flight) time.Duration {
+	longest := overloadRetry
+	for i := range f.parts {
+		choice, ok := m.placer.Choose(now, m.directory.Servers(f.parts[i].service), nil, time.Duration(f.stats.work))
+		if !ok || choice.Doubtful {
+			return noServerRetry
+		}
+		longest = max(longest, choice.Expected)
+	}
+	return min(longest, noServerRetry)
+}
+
+// close withdraws what is open and forgets the request.
+func (m *Machine) close(now time.Time, f *flight) {
+	for i := range f.parts {
+		m.withdraw(now, f, &f.parts[i])
+	}
+	m.alarms.Clear(&f.alarm)
+	delete(m.flights, f.id)
+}
+
+// burst is this host's part of the extra attempts on top of the ratio.
+func (m *Machine) burst() float64 {
+	return m.cfg.ExtraBurst / float64(max(m.cfg.Hosts, 1))
+}
+
+func (m *Machine) budget(service string) *limiter.Budget {
+	budget := m.budgets[service]
+	if budget == nil {
+		fresh := limiter.NewBudget(m.cfg.ExtraRatio, m.burst())
+		budget = &fresh
+		m.budgets[service] = budget
+	}
+	return budget
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/pkg/coordination/scatterer/types.go
@@ -0,0 +1,116 @@
+package scatterer
+
+import (
+	"time"
+
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/placer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
+)
+
+// Config holds the settings of a scatterer.
+type Config struct {
+	Placer placer.Config
+	// AnswerMargin is how long before the objective of a route an incomplete
+	// answer leaves, for its way to the caller.
+	AnswerMargin time.Duration
+	// HedgeFraction is the part of the objective after which a sub-request is late.
+	HedgeFraction float64
+	// ExtraRatio and ExtraBurst are the second attempts that all hosts together
+	// may send to a service: a part of its requests, and a number on top.
+	ExtraRatio float64
+	ExtraBurst float64
+	// Hosts is the number of hosts that share the extra attempts.
+	Hosts int
+}
+
+// Directory names the backend servers of a service that may get new work.
+type Directory interface {
+	Servers(service string) []*lister.Server
+}
+
+// Event is an input of the machine.
+type Event interface{ scattererEvent() }
+
+// Arrived is a caller's request on a route.
+type Arrived struct {
+	Request uint64
+	Route   *matcher.Route
+	// Left is the time that the caller still waits.
+	Left time.Duration
+}
+
+// Ended ends one attempt.
+type Ended struct {
+	Attempt uint64
+	// Code is classifier.OK for a whole answer.
+	Code classifier.Code
+	// Final says that a failure is the server's own answer, which goes to the
+	// caller as it is if no other attempt is left.
+	Final bool
+	Load  *placer.Load
+}
+
+// Abandoned says that the caller has gone.
+type Abandoned struct {
+	Request uint64
+}
+
+// Woken says that the time which Wake named has come.
+type Woken struct{}
+
+func (*Arrived) scattererEvent()   {}
+func (*Ended) scattererEvent()     {}
+func (*Abandoned) scattererEvent() {}
+func (*Woken) scattererEvent()     {}
+
+// Reason says why an attempt is sent.
+type Reason string
+
+// The reasons of attempts.
+const (
+	ReasonFirst Reason = "first"
+	ReasonLate  Reason = "late"
+	ReasonRetry Reason = "retry"
+)
+
+// Action is an output of the machine.
+type Action interface{ scattererAction() }
+
+// Send sends a sub-request to a server.
+type Send struct {
+	Request uint64
+	Attempt uint64
+	Part    int
+	Server  *lister.Server
+	Reason  Reason
+	// Expected is the time in which the server was expected to answer.
+	Expected time.Duration
+	Deadline time.Time
+}
+
+// Cancel ends an attempt whose answer is no longer of use.
+type Cancel struct {
+	Attempt uint64
+}
+
+// Complete answers a request from the given attempts, one for each part; 0 is a missing part.
+type Complete struct {
+	Request  uint64
+	Attempts []uint64
+	Early    bool
+	Took     time.Duration
+}
+
+// Refuse ends a request without an answer of a backend server.
+type Refuse struct {
+	Request uint64
+	Failure *classifier.Failure
+	Took    time.Duration
+}
+
+func (*Send) scattererAction()     {}
+func (*Cancel) scattererAction()   {}
+func (*Complete) scattererAction() {}
+func (*Refuse) scattererAction()   {}
--- a/pkg/protocol/classifier/code.go
+++ b/pkg/protocol/classifier/code.go
@@ -45,6 +45,9 @@
 	ServerDraining     Code = 1312
 	ResponseTooLarge   Code = 1313
 	UnknownShardLayout Code = 1314
+	WrongServer        Code = 1315
+	UnknownRoute       Code = 1316
+	StaleRoutes        Code = 1317
 )
 
 // The codes of orders.
@@ -114,6 +117,9 @@
 	{ServerDraining, "serverDraining", http.StatusServiceUnavailable, NotRun, "The backend server is leaving."},
 	{ResponseTooLarge, "responseTooLarge", http.StatusBadGateway, Unknown, "The body of the backend server exceeds the limit."},
 	{UnknownShardLayout, "unknownShardLayout", http.StatusServiceUnavailable, NotRun, "No snapshot is known."},
+	{WrongServer, "wrongServer", http.StatusServiceUnavailable, NotRun, "Another backend server has the address."},
+	{UnknownRoute, "unknownRoute", http.StatusNotFound, NotRun, "No route of the configuration in force matches the request."},
+	{StaleRoutes, "staleRoutes", http.StatusServiceUnavailable, NotRun, "No route matches, and the configuration may be out of date."},
 	{OrderDone, "orderDone", http.StatusOK, Done, "The order has run."},
 	{OrderRepeated, "orderRepeated", http.StatusOK, Done, "The order ran before; this is its recorded result."},
 	{OrderNotRun, "orderNotRun", http.StatusServiceUnavailable, NotRun, "The order has not run."},
--- a/pkg/state/storer/storer.go
+++ b/pkg/state/storer/storer.go
@@ -13,6 +13,8 @@
 	ErrConflict = errors.New("object has another version")
 	// ErrUnavailable means that the call certainly had no effect.
 	ErrUnavailable = errors.New("platform unavailable")
+	// ErrHistoryGone means that changes after the version of a watch are no longer known.
+	ErrHistoryGone = errors.New("history of the watch is gone")
 	// ErrUnsettled means that the call may have had its effect.
 	ErrUnsettled = errors.New("answer of the platform lost")
 )
