internal/forwarder: ask peers while the store is away; stand-ins and tests of the path

A host that starts in an outage of the store learned nothing, and a host that the store turns away would miss changes. Hosts now keep the objects that they follow and answer comparisons on the control address; a host without the store asks one peer every 500 ms. The comparison of controller moved to internal/comparer and serves both.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/rhubarbpost/rhubarbpost/internal/comparer"
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
 	"github.com/rhubarbpost/rhubarbpost/internal/protocol/exchanger"
 	"github.com/rhubarbpost/rhubarbpost/internal/protocol/exchanger/exchangerconnect"
@@ -24,7 +25,6 @@
 const (
 	ringCapacity      = 1024
 	exchangeTimeout   = 2 * time.Second
-	maxExchangeBytes  = 256 << 10
 	watchRetryDelay   = 500 * time.Millisecond
 	subscriptionRing  = 256
 	subscriptionBatch = 256
@@ -174,7 +174,7 @@
 func (c *Controller) pushObjects(peer string, objects []storer.Object) {
 	ctx, cancel := context.WithTimeout(c.ctx, exchangeTimeout)
 	defer cancel()
-	for _, batch := range batches(objects) {
+	for _, batch := range comparer.Batches(objects) {
 		request := &exchanger.PushRequest{Host: c.cfg.Self.Name, Objects: exchanger.ToMessages(batch)}
 		c.count(request.Objects)
 		_, err := c.clients[peer].Push(ctx, connect.NewRequest(request))
@@ -185,21 +185,6 @@
 	}
 }
 
-// batches splits objects so that no message is larger than maxExchangeBytes,
-// save for a single object that is.
-func batches(objects []storer.Object) [][]storer.Object {
-	var list [][]storer.Object
-	start, size := 0, 0
-	for i, object := range objects {
-		size += len(object.Key) + len(object.Value)
-		if size > maxExchangeBytes && i > start {
-			list = append(list, objects[start:i])
-			start, size = i, len(object.Key)+len(object.Value)
-		}
-	}
-	return append(list, objects[start:])
-}
-
 func (c *Controller) count(objects []*exchanger.Object) {
 	for _, object := range objects {
 		c.sent.Add(uint64(len(object.GetKey()) + len(object.GetValue())))
@@ -223,33 +208,13 @@
 func (c *Controller) compare(peer string) {
 	ctx, cancel := context.WithTimeout(c.ctx, exchangeTimeout)
 	defer cancel()
-	digest, count := c.keeper.Digest()
-	first, err := c.clients[peer].Compare(ctx, connect.NewRequest(&exchanger.CompareRequest{
-		Host: c.cfg.Self.Name, Digest: digest, Count: uint32(count),
-	}))
-	c.note(peer, err)
-	if err != nil || first.Msg.GetEqual() {
-		return
-	}
-	second, err := c.clients[peer].Compare(ctx, connect.NewRequest(c.versionsFor(first.Msg.GetBucketDigests())))
+	newer, wanted, err := comparer.Fetch(ctx, c.clients[peer], c.cfg.Self.Name, c.keeper)
 	c.note(peer, err)
 	if err != nil {
 		return
 	}
-	c.accept(exchanger.FromMessages(second.Msg.GetNewer()))
-	c.sendWanted(peer, second.Msg.GetWanted())
-}
-
-func (c *Controller) versionsFor(digests []uint64) *exchanger.CompareRequest {
-	buckets := c.keeper.Differing(digests)
-	request := &exchanger.CompareRequest{Host: c.cfg.Self.Name}
-	for _, bucket := range buckets {
-		request.Buckets = append(request.Buckets, uint32(bucket))
-	}
-	for key, version := range c.keeper.Versions(buckets) {
-		request.Versions = append(request.Versions, &exchanger.KeyVersion{Key: key, Version: version})
-	}
-	return request
+	c.accept(newer)
+	c.sendWanted(peer, wanted)
 }
 
 func (c *Controller) sendWanted(peer string, wanted []string) {
--- a/internal/controller/handlers.go
+++ b/internal/controller/handlers.go
@@ -9,6 +9,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/rhubarbpost/rhubarbpost/internal/comparer"
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
 	"github.com/rhubarbpost/rhubarbpost/internal/protocol/exchanger"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/spreader"
@@ -104,37 +105,9 @@
 // Compare answers a digest, or the versions of the buckets that differ.
 func (c *Controller) Compare(ctx context.Context, r *connect.Request[exchanger.CompareRequest]) (*connect.Response[exchanger.CompareResponse], error) {
 	c.heard(ctx, r.Msg.GetHost())
-	if len(r.Msg.GetBuckets()) > 0 {
-		return connect.NewResponse(c.compareVersions(r.Msg)), nil
-	}
-	digest, count := c.keeper.Digest()
-	response := &exchanger.CompareResponse{Equal: digest == r.Msg.GetDigest() && uint32(count) == r.Msg.GetCount()}
-	if !response.Equal {
-		response.BucketDigests = c.keeper.BucketDigests()
-	}
-	return connect.NewResponse(response), nil
-}
-
-func (c *Controller) compareVersions(request *exchanger.CompareRequest) *exchanger.CompareResponse {
-	buckets := make([]int, len(request.GetBuckets()))
-	for i, bucket := range request.GetBuckets() {
-		buckets[i] = int(bucket)
-	}
-	theirs := make(map[string]uint64, len(request.GetVersions()))
-	for _, v := range request.GetVersions() {
-		theirs[v.GetKey()] = v.GetVersion()
-	}
-	own := c.keeper.Versions(buckets)
-	response := &exchanger.CompareResponse{}
-	for key, version := range theirs {
-		if version > own[key] {
-			response.Wanted = append(response.Wanted, key)
-		}
-	}
-	// What does not fit is left for the next comparison.
-	response.Newer = exchanger.ToMessages(batches(c.keeper.Newer(buckets, theirs))[0])
+	response := comparer.Answer(c.keeper, r.Msg)
 	c.count(response.Newer)
-	return response
+	return connect.NewResponse(response), nil
 }
 
 // Acknowledge notes which revisions the entry beside has in force.
--- a/internal/controller/watcher.go
+++ b/internal/controller/watcher.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
-	"github.com/rhubarbpost/rhubarbpost/pkg/state/storer"
 )
 
 // setWatching begins or ends the watch on the platform.
@@ -44,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	c.accept(append(page.Objects, c.missingFrom(page, prefix)...))
+	c.accept(append(page.Objects, c.keeper.Missing(prefix, page)...))
 	after := page.Version
 	for {
 		page, err = c.cfg.Store.Watch(ctx, prefix, after)
@@ -55,19 +54,3 @@
 		after = max(after, page.Version)
 	}
 }
-
-// missingFrom returns objects held that a list does not name as deleted at the
-// list's version; a list older than an object says nothing about it.
-func (c *Controller) missingFrom(page storer.Page, prefix string) []storer.Object {
-	named := make(map[string]bool, len(page.Objects))
-	for _, object := range page.Objects {
-		named[object.Key] = true
-	}
-	var deleted []storer.Object
-	for _, object := range c.keeper.List(prefix) {
-		if !named[object.Key] && !object.Deleted && object.Version <= page.Version {
-			deleted = append(deleted, storer.Object{Key: object.Key, Version: page.Version, Deleted: true})
-		}
-	}
-	return deleted
-}
--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -56,3 +56,7 @@
 func (c *counters) storeCall(call string, err error) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_store_calls_total{call=%q,ok=\"%t\"}", call, err == nil)).Inc()
 }
+
+func (c *counters) peerCall(err error) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_peer_calls_total{ok=\"%t\"}", err == nil)).Inc()
+}
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -47,10 +47,8 @@
 }
 
 type listing struct {
-	entries  []lister.Entry
-	whole    bool
-	revision uint64
-	outage   time.Duration
+	entries []lister.Entry
+	source
 }
 
 type hostCount struct{ n int }
@@ -261,18 +259,14 @@
 
 // list takes changes of the list of backend servers.
 func (e *engine) list(now time.Time, item *listing) {
-	if item.outage > 0 {
+	if item.doubtful {
 		e.servers.StoreReturned(now)
 	}
-	var changed []string
 	if item.whole {
-		changed = e.servers.Replace(now, item.entries, item.revision)
 		e.listOnce.Do(func() { close(e.listed) })
-	} else {
-		changed = e.servers.Apply(now, item.entries)
 	}
 	var gone []string
-	for _, id := range changed {
+	for _, id := range e.servers.Apply(now, item.entries) {
 		if e.servers.Held(id) {
 			e.log.Debug(logger.ServerListed, "server", id)
 			continue
--- a/internal/forwarder/follower.go
+++ b/internal/forwarder/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
@@ -11,12 +12,11 @@
 )
 
 // follow runs a watcher of one prefix until the context ends.
-func (f *Forwarder) follow(ctx context.Context, prefix string, take func(page storer.Page, whole bool, outage time.Duration)) {
+func (f *Forwarder) follow(ctx context.Context, prefix string) {
 	m := watcher.New(watcher.DefaultConfig())
 	var next watcher.Event = &watcher.Woken{}
 	for ctx.Err() == nil {
-		now := time.Now()
-		for _, action := range m.Step(now, next) {
+		for _, action := range m.Step(time.Now(), next) {
 			switch a := action.(type) {
 			case *watcher.List:
 				page, err := f.cfg.Store.List(ctx, prefix)
@@ -30,14 +30,12 @@
 				sleep(ctx, a.Delay)
 				next = &watcher.Woken{}
 			case *watcher.Replace:
-				if a.Outage > 0 {
-					f.cfg.Logger.Info(logger.StoreRegained, "prefix", prefix, "outageMillis", a.Outage.Milliseconds(),
-						"revision", a.Page.Version)
-				}
-				take(a.Page, true, a.Outage)
+				f.replaced(prefix, a)
 			case *watcher.Merge:
-				take(a.Page, false, 0)
+				f.confirm(prefix)
+				f.take(a.Page.Objects, source{})
 			case *watcher.Lost:
+				f.lost.Add(1)
 				f.cfg.Logger.Warn(logger.StoreLost, "prefix", prefix, "error", a.Err)
 			}
 		}
@@ -54,27 +52,70 @@
 	}
 }
 
-// takeConfig adopts the newest configuration of a page; an older one is ignored.
-func (f *Forwarder) takeConfig(page storer.Page, _ bool, _ time.Duration) {
-	f.confirmed.Store(time.Now().UnixNano())
-	for _, object := range page.Objects {
-		if object.Key == f.cfg.Layout.ConfigKey && !object.Deleted {
+// replaced takes a whole list.
+func (f *Forwarder) replaced(prefix string, a *watcher.Replace) {
+	if a.Outage > 0 {
+		f.lost.Add(-1)
+		f.cfg.Logger.Info(logger.StoreRegained, "prefix", prefix, "outageMillis", a.Outage.Milliseconds(), "revision", a.Page.Version)
+	}
+	f.confirm(prefix)
+	objects := append(a.Page.Objects, f.objects.Missing(prefix, a.Page)...)
+	f.take(objects, source{whole: prefix == f.cfg.Layout.ServerPrefix, doubtful: a.Outage > 0})
+}
+
+// confirm notes that the store has just told the newest of a prefix.
+func (f *Forwarder) confirm(prefix string) {
+	if prefix == f.cfg.Layout.ConfigPrefix {
+		f.confirmed.Store(time.Now().UnixNano())
+	}
+}
+
+// source says where objects come from.
+type source struct {
+	// whole means that the list of backend servers is complete.
+	whole bool
+	// doubtful means that removals may be lapses of an outage.
+	doubtful bool
+}
+
+// take keeps what is newer than the objects held and puts it in force.
+func (f *Forwarder) take(objects []storer.Object, from source) {
+	var entries []lister.Entry
+	for _, object := range f.objects.Merge(objects) {
+		switch {
+		case object.Key == f.cfg.Layout.ConfigKey:
 			f.adopt(object)
+		case strings.HasPrefix(object.Key, f.cfg.Layout.ServerPrefix):
+			entries = append(entries, f.entry(object))
 		}
 	}
+	if from.whole || len(entries) > 0 {
+		f.engine.push(&listing{entries: entries, source: from})
+	}
 }
 
+// entry decodes an entry of the list of backend servers; one that can't be read names none.
+func (f *Forwarder) entry(object storer.Object) lister.Entry {
+	entry, err := f.cfg.Documents.Server(object)
+	if err != nil {
+		f.cfg.Logger.Warn(logger.EntryRejected, "key", object.Key, "revision", object.Version, "error", err)
+	}
+	return entry
+}
+
+// adopt puts a configuration in force unless a newer one is; one that can't be
+// decoded leaves the one before.
 func (f *Forwarder) adopt(object storer.Object) {
 	f.adopting.Lock()
 	defer f.adopting.Unlock()
 	held := f.table.Load()
-	if held != nil && held.Revision() >= object.Version {
+	if object.Deleted || (held != nil && held.Revision() >= object.Version) {
 		return
 	}
 	table, err := f.cfg.Documents.Table(object)
 	if err != nil {
 		f.cfg.Logger.Error(logger.RoutesRejected, "revision", object.Version, "error", err)
-		if table == nil || table.Len() == 0 {
+		if table == nil {
 			return
 		}
 	}
@@ -82,18 +123,3 @@
 	f.metrics.version.Set(float64(table.Version()))
 	f.cfg.Logger.Info(logger.RoutesAdopted, "version", table.Version(), "revision", table.Revision(), "routes", table.Len())
 }
-
-// takeServers hands a page of the list of backend servers to the engine.
-func (f *Forwarder) takeServers(page storer.Page, whole bool, outage time.Duration) {
-	entries := make([]lister.Entry, 0, len(page.Objects))
-	for _, object := range page.Objects {
-		entry, err := f.cfg.Documents.Server(object)
-		if err != nil {
-			f.cfg.Logger.Warn(logger.EntryRejected, "key", object.Key, "revision", object.Version, "error", err)
-		}
-		entries = append(entries, entry)
-	}
-	if whole || len(entries) > 0 {
-		f.engine.push(&listing{entries: entries, whole: whole, revision: page.Version, outage: outage})
-	}
-}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -9,7 +9,10 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/internal/protocol/exchanger/exchangerconnect"
+	"github.com/rhubarbpost/rhubarbpost/internal/transport/connector"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/keeper"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/storer"
 )
@@ -44,16 +47,21 @@
 	workers   sync.WaitGroup
 	cancel    context.CancelFunc
 
+	// objects are the newest seen of the store, which peers may ask for.
+	objects *keeper.Keeper
+	// lost counts the prefixes that the store doesn't answer for.
+	lost        atomic.Int64
 	table       atomic.Pointer[matcher.Table]
 	adopting    sync.Mutex
 	confirmed   atomic.Int64
 	lastRequest atomic.Uint64
 	stopping    atomic.Bool
+	closing     sync.Once
 }
 
 // New opens the listeners and follows the store.
 func New(cfg Config) (*Forwarder, error) {
-	f := &Forwarder{cfg: cfg, metrics: newCounters(), client: newClient(cfg.Dialect)}
+	f := &Forwarder{cfg: cfg, metrics: newCounters(), client: newClient(cfg.Dialect), objects: keeper.New()}
 	f.engine = newEngine(cfg, f.metrics, f.client)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
@@ -62,8 +70,9 @@
 		f.Close()
 		return nil, err
 	}
-	f.workers.Go(func() { f.follow(ctx, cfg.Layout.ConfigPrefix, f.takeConfig) })
-	f.workers.Go(func() { f.follow(ctx, cfg.Layout.ServerPrefix, f.takeServers) })
+	f.workers.Go(func() { f.follow(ctx, cfg.Layout.ConfigPrefix) })
+	f.workers.Go(func() { f.follow(ctx, cfg.Layout.ServerPrefix) })
+	f.workers.Go(func() { f.askPeers(ctx) })
 	f.workers.Go(func() { f.joinAndCount(ctx) })
 	return f, nil
 }
@@ -76,9 +85,12 @@
 		f.metrics.set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
+	calls := http.NewServeMux()
+	calls.Handle(exchangerconnect.NewControlHandler(control{f: f}, connector.HandlerOptions(nil)))
 	for address, handler := range map[string]http.Handler{
 		f.cfg.Settings.Listen.Readiness: mux,
 		f.cfg.Settings.Listen.Metrics:   exported,
+		f.cfg.Settings.Listen.Control:   calls,
 	} {
 		l, err := listener.New(listener.Config{Address: address, Handler: handler})
 		if err != nil {
@@ -138,8 +150,12 @@
 	return err
 }
 
-// Close ends everything at once and waits for it.
+// Close ends everything at once and waits for it; a second call does nothing.
 func (f *Forwarder) Close() {
+	f.closing.Do(f.close)
+}
+
+func (f *Forwarder) close() {
 	f.cancel()
 	f.workers.Wait()
 	if f.callers != nil {
--- a/internal/forwarder/members.go
+++ b/internal/forwarder/members.go
@@ -12,7 +12,7 @@
 
 const (
 	// memberInterval is how often the hosts are counted.
-	memberInterval = 5 * time.Second
+	memberInterval = 10 * time.Second
 	// memberRetry is the delay after a failed call.
 	memberRetry = 500 * time.Millisecond
 	// unknownHosts is how many hosts are taken to share the extra attempts
@@ -58,7 +58,11 @@
 	}
 	page, err := f.cfg.Store.List(ctx, f.cfg.Layout.HostPrefix)
 	f.metrics.storeCall("list", err)
-	return len(page.Objects), err
+	if err != nil {
+		return 0, err
+	}
+	f.take(append(page.Objects, f.objects.Missing(f.cfg.Layout.HostPrefix, page)...), source{})
+	return len(page.Objects), nil
 }
 
 // join writes the entry of this host unless it is there as it should be.
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -36,8 +36,9 @@
 	// StoreCallTimeout is some hundred times the usual answer time of the store,
 	// and leaves a second try within the bound on configuration.
 	StoreCallTimeout = 900 * time.Millisecond
-	// WatchWait bounds how long a connection that has gone silent goes unnoticed.
-	WatchWait = time.Second
+	// WatchWait bounds, with the call timeout, how long a connection that has
+	// gone silent goes unnoticed; well within the 4 s after which a host must be up to date again.
+	WatchWait = 1800 * time.Millisecond
 )
 
 // Settings are the settings of a host that forwards by the platform's configuration.
--- /dev/null
+++ b/internal/lab/standin/doc.go
@@ -0,0 +1,3 @@
+// Package standin plays the prepared platform on loopback: its store over HTTP
+// and its backend servers, with the faults that tests ask for.
+package standin
--- a/internal/transport/connector/options.go
+++ b/internal/transport/connector/options.go
@@ -14,7 +14,7 @@
 // and no compression, which costs more than the small messages save.
 func ClientOptions(keys []string) connect.ClientOption {
 	return connect.WithClientOptions(
-		connect.WithInterceptors(authenticator.New(keys)),
+		connect.WithInterceptors(interceptors(keys)...),
 		connect.WithAcceptCompression(compression, nil, nil),
 		connect.WithReadMaxBytes(maxMessageBytes),
 	)
@@ -23,8 +23,17 @@
 // HandlerOptions returns the options of all handlers of own processes.
 func HandlerOptions(keys []string) connect.HandlerOption {
 	return connect.WithHandlerOptions(
-		connect.WithInterceptors(authenticator.New(keys)),
+		connect.WithInterceptors(interceptors(keys)...),
 		connect.WithCompression(compression, nil, nil),
 		connect.WithReadMaxBytes(maxMessageBytes),
 	)
 }
+
+// interceptors returns the check of the keys; without keys the network alone
+// keeps others out.
+func interceptors(keys []string) []connect.Interceptor {
+	if len(keys) == 0 {
+		return nil
+	}
+	return []connect.Interceptor{authenticator.New(keys)}
+}
--- /dev/null
+++ b/pkg/coordination/placer/placer_test.go
@@ -0,0 +1,122 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
+)
+
+const work = 10 * time.Millisecond
+
+var start = time.Unix(100, 0)
+
+func testPlacer() *Placer {
+	return New(Config{
+		Domain: "near", ForeignCost: 0.3, QueueCost: 2, ReportLife: 60 * time.Millisecond, Memory: 1500 * time.Millisecond,
+	})
+}
+
+func servers(domains ...string) []*lister.Server {
+	list := make([]*lister.Server, len(domains))
+	for i, domain := range domains {
+		list[i] = &lister.Server{ID: fmt.Sprint(i), Service: "s", Domain: domain, Slots: 2}
+	}
+	return list
+}
+
+func choose(t *testing.T, p *Placer, now time.Time, list []*lister.Server) Choice {
+	t.Helper()
+	choice, ok := p.Choose(now, list, nil, work)
+	if !ok {
+		t.Fatal("no choice")
+	}
+	return choice
+}
+
+func TestOwnDomainFirstUntilItIsBusy(t *testing.T) {
+	is := is.New(t)
+	p := testPlacer()
+	list := servers("far", "near")
+	is.Equal(choose(t, p, start, list).Server.ID, "1")
+	p.Sent(start, list[1])
+	is.Equal(choose(t, p, start, list).Server.ID, "0")
+}
+
+// TestPausedServerLosesWorkBeforeItAnswers has a request out for longer than usual.
+func TestPausedServerLosesWorkBeforeItAnswers(t *testing.T) {
+	is := is.New(t)
+	p := testPlacer()
+	list := servers("near", "near")
+	p.Sent(start, list[0])
+	now := start.Add(5 * work)
+	p.Sent(now, list[1])
+	p.Sent(now, list[1])
+	is.Equal(choose(t, p, now, list).Server.ID, "1") // though it has more in flight
+}
+
+func TestSlowServerIsForgiven(t *testing.T) {
+	is := is.New(t)
+	p := testPlacer()
+	list := servers("near", "far")
+	p.Sent(start, list[0])
+	p.Ended(start, "0", start, Result{Outcome: Answered, Latency: 10 * work, Work: work})
+	is.Equal(choose(t, p, start, list).Server.ID, "1")
+	is.Equal(choose(t, p, start.Add(2*time.Second), list).Server.ID, "0")
+}
+
+// TestFailingServerGetsSingleTries fails a server and follows its suspension.
+func TestFailingServerGetsSingleTries(t *testing.T) {
+	is := is.New(t)
+	p := testPlacer()
+	list := servers("near")
+	fail := func(now time.Time) {
+		p.Sent(now, list[0])
+		p.Ended(now, "0", now, Result{Outcome: Failed, Work: work})
+	}
+	for range suspendAfter - 1 {
+		fail(start)
+	}
+	is.True(!choose(t, p, start, list).Doubtful)
+	fail(start)
+	is.True(choose(t, p, start, list).Doubtful)
+	now := start.Add(suspensionMin)
+	is.True(!choose(t, p, now, list).Doubtful) // one try
+	p.Sent(now, list[0])
+	is.True(choose(t, p, now, list).Doubtful) // and no second beside it
+	p.Ended(now, "0", now, Result{Outcome: Failed, Work: work})
+	is.True(choose(t, p, now.Add(suspensionMin), list).Doubtful) // the next comes later
+	now = now.Add(2 * suspensionMin)
+	p.Sent(now, list[0])
+	p.Ended(now, "0", now, Result{Outcome: Answered, Latency: work, Work: work})
+	is.True(!choose(t, p, now, list).Doubtful)
+}
+
+// TestCutDomainIsLeftAsAWhole has some servers of a domain silent and expects
+// none of the others there to be tried but now and then.
+func TestCutDomainIsLeftAsAWhole(t *testing.T) {
+	is := is.New(t)
+	p := testPlacer()
+	list := servers("far", "far", "far", "far", "far", "near")
+	for i := range domainServers {
+		p.Sent(start, list[i])
+		p.Ended(start, list[i].ID, start, Result{Outcome: Silent, Latency: 10 * work, Work: work})
+	}
+	p.Sent(start, list[4]) // the single try
+	is.True(choose(t, p, start, list[4:5]).Doubtful)
+	is.True(!choose(t, p, start.Add(domainRetry), list[4:5]).Doubtful)
+	p.Ended(start, list[4].ID, start, Result{Outcome: Answered, Latency: work, Work: work})
+	is.True(!choose(t, p, start, list[:1]).Doubtful) // one answer clears the domain
+}
+
+func TestMisplacedServerIsNeverChosen(t *testing.T) {
+	is := is.New(t)
+	p := testPlacer()
+	list := servers("near")
+	p.Sent(start, list[0])
+	p.Ended(start, "0", start, Result{Outcome: Misplaced})
+	_, ok := p.Choose(start, list, nil, work)
+	is.True(!ok)
+}
--- /dev/null
+++ b/pkg/coordination/scatterer/scatterer_test.go
@@ -0,0 +1,350 @@
+package scatterer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/placer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
+	"pgregory.net/rapid"
+)
+
+const (
+	objective = 100 * time.Millisecond
+	timeout   = time.Second
+	margin    = 10 * time.Millisecond
+	patience  = 800 * time.Millisecond
+)
+
+var start = time.Unix(100, 0)
+
+// directory is a fixed list of servers.
+type directory map[string][]*lister.Server
+
+func (d directory) Servers(service string) []*lister.Server { return d[service] }
+
+// newDirectory returns services named by letters with some servers each.
+func newDirectory(services string, servers int) directory {
+	d := make(directory)
+	for _, name := range services {
+		for i := range servers {
+			id := fmt.Sprintf("%c%d", name, i)
+			d[string(name)] = append(d[string(name)], &lister.Server{ID: id, Service: string(name), Domain: "d", Slots: 2})
+		}
+	}
+	return d
+}
+
+func testMachine(d Directory) *Machine {
+	return New(Config{
+		Placer:       placer.Config{Domain: "d", QueueCost: 2, ReportLife: 60 * time.Millisecond, Memory: 1500 * time.Millisecond},
+		AnswerMargin: margin, HedgeFraction: 0.25, ExtraRatio: 0.2, ExtraBurst: 50, Hosts: 1,
+	}, d)
+}
+
+func single(repeatable bool, attempts int) *matcher.Route {
+	return &matcher.Route{
+		Name: "r", Host: "h", Prefix: "/", Repeatable: repeatable, Attempts: attempts,
+		Timeout: timeout, Objective: objective, Target: &matcher.Single{Service: "a"},
+	}
+}
+
+func sharded(services string, coverage float64) *matcher.Route {
+	route := single(true, 2)
+	target := &matcher.Sharded{MinCoverage: coverage, Rows: 5}
+	for _, name := range services {
+		target.Services = append(target.Services, string(name))
+	}
+	route.Target = target
+	return route
+}
+
+func arrive(m *Machine, now time.Time, request uint64, route *matcher.Route) []Action {
+	return clone(m.Step(now, &Arrived{Request: request, Route: route, Left: patience}))
+}
+
+func clone(actions []Action) []Action { return append([]Action(nil), actions...) }
+
+// of returns the actions of one type.
+func of[T Action](actions []Action) []T {
+	var list []T
+	for _, action := range actions {
+		typed, ok := action.(T)
+		if ok {
+			list = append(list, typed)
+		}
+	}
+	return list
+}
+
+func end(m *Machine, now time.Time, send *Send, code classifier.Code) []Action {
+	return clone(m.Step(now, &Ended{Attempt: send.Attempt, Code: code}))
+}
+
+func TestWholeAnswerCompletesAtOnce(t *testing.T) {
+	is := is.New(t)
+	m := testMachine(newDirectory("abc", 2))
+	sends := of[*Send](arrive(m, start, 1, sharded("abc", 0.5)))
+	is.Equal(len(sends), 3)
+	is.Equal(len(end(m, start, sends[0], classifier.OK)), 0)
+	is.Equal(len(end(m, start, sends[1], classifier.OK)), 0)
+	completes := of[*Complete](end(m, start, sends[2], classifier.OK))
+	is.Equal(len(completes), 1)
+	is.Equal(completes[0].Attempts, []uint64{sends[0].Attempt, sends[1].Attempt, sends[2].Attempt})
+	is.True(!completes[0].Early)
+	is.Equal(m.Len(), 0)
+}
+
+// TestEarlyAnswerLeavesBeforeTheObjective lets one of four shards be late.
+func TestEarlyAnswerLeavesBeforeTheObjective(t *testing.T) {
+	is := is.New(t)
+	m := testMachine(newDirectory("abcd", 1))
+	sends := of[*Send](arrive(m, start, 1, sharded("abcd", 0.75)))
+	for _, send := range sends[:3] {
+		end(m, start, send, classifier.OK)
+	}
+	at := start.Add(objective - margin)
+	is.Equal(len(of[*Complete](m.Step(at.Add(-time.Millisecond), &Woken{}))), 0)
+	actions := clone(m.Step(at, &Woken{}))
+	completes := of[*Complete](actions)
+	is.Equal(len(completes), 1)
+	is.True(completes[0].Early)
+	is.Equal(completes[0].Attempts[3], uint64(0))
+	is.Equal(of[*Cancel](actions)[0].Attempt, sends[3].Attempt)
+}
+
+// TestTooLittleCoverageWaitsOn lets the needed shard come after the objective.
+func TestTooLittleCoverageWaitsOn(t *testing.T) {
+	is := is.New(t)
+	m := testMachine(newDirectory("abcd", 1))
+	sends := of[*Send](arrive(m, start, 1, sharded("abcd", 0.75)))
+	for _, send := range sends[:2] {
+		end(m, start, send, classifier.OK)
+	}
+	is.Equal(len(of[*Complete](m.Step(start.Add(objective), &Woken{}))), 0)
+	is.Equal(len(of[*Complete](end(m, start.Add(2*objective), sends[2], classifier.OK))), 1)
+}
+
+// TestHopelessCoverageFailsAtOnce has a shard without servers, then one that fails.
+func TestHopelessCoverageFailsAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory("abc", 1)
+	m := testMachine(d)
+	delete(d, "c")
+	refuses := of[*Refuse](arrive(m, start, 1, sharded("abc", 0.9)))
+	is.Equal(len(refuses), 1)
+	is.Equal(refuses[0].Failure.Code.NotRun(), false) // the other shards were asked
+
+	d = newDirectory("ab", 1)
+	m = testMachine(d)
+	delete(d, "a")
+	delete(d, "b")
+	refuses = of[*Refuse](arrive(m, start, 1, sharded("ab", 0.9)))
+	is.Equal(refuses[0].Failure.Code, classifier.NoServer)
+	is.True(refuses[0].Failure.RetryAfter > 0)
+}
+
+// TestLateShardGetsASecondAttempt cancels the loser.
+func TestLateShardGetsASecondAttempt(t *testing.T) {
+	is := is.New(t)
+	m := testMachine(newDirectory("a", 2))
+	first := of[*Send](arrive(m, start, 1, single(true, 2)))[0]
+	at := start.Add(objective / 4)
+	second := of[*Send](clone(m.Step(at, &Woken{})))[0]
+	is.Equal(second.Reason, ReasonLate)
+	is.True(second.Server.ID != first.Server.ID)
+	actions := end(m, at, second, classifier.OK)
+	is.Equal(of[*Cancel](actions)[0].Attempt, first.Attempt)
+	is.Equal(of[*Complete](actions)[0].Attempts, []uint64{second.Attempt})
+	is.Equal(len(end(m, at, first, classifier.OK)), 0) // the loser's late answer
+}
+
+// TestServersOwnFailureGoesToTheCaller has no attempt left after a failure.
+func TestServersOwnFailureGoesToTheCaller(t *testing.T) {
+	is := is.New(t)
+	m := testMachine(newDirectory("a", 3))
+	send := of[*Send](arrive(m, start, 1, single(true, 1)))[0]
+	actions := clone(m.Step(start, &Ended{Attempt: send.Attempt, Code: classifier.ServerFailed, Final: true}))
+	is.Equal(of[*Complete](actions)[0].Attempts, []uint64{send.Attempt})
+}
+
+// TestOrderIsSentOnceAfterItMayHaveRun fails an order that must not repeat in each way.
+func TestOrderIsSentOnceAfterItMayHaveRun(t *testing.T) {
+	for _, entry := range classifier.Table() {
+		if entry.Code < classifier.NoServer || entry.Code > classifier.WrongServer {
+			continue
+		}
+		t.Run(entry.Name, func(t *testing.T) {
+			is := is.New(t)
+			m := testMachine(newDirectory("a", 3))
+			send := of[*Send](arrive(m, start, 1, single(false, 3)))[0]
+			is.Equal(len(m.Step(start.Add(objective), &Woken{})), 0) // no second attempt for being late
+			actions := end(m, start.Add(objective), send, entry.Code)
+			again := of[*Send](actions)
+			is.Equal(len(again) > 0, entry.Code.NotRun())
+			if len(again) == 0 {
+				is.True(!of[*Refuse](actions)[0].Failure.Code.NotRun())
+			}
+		})
+	}
+}
+
+func TestWeightsAreKeptOverFewRequests(t *testing.T) {
+	is := is.New(t)
+	m := testMachine(newDirectory("ab", 1))
+	route := single(true, 1)
+	route.Target = &matcher.Weighted{Shares: []matcher.Share{{Service: "a", Weight: 3}, {Service: "b", Weight: 1}}}
+	counts := make(map[string]int)
+	for i := range 40 {
+		counts[of[*Send](arrive(m, start, uint64(i), route))[0].Server.Service]++
+	}
+	is.Equal(counts["a"], 30)
+	is.Equal(counts["b"], 10)
+}
+
+// TestExtraAttemptsKeepToTheSharedBudget lets every first attempt be late and
+// counts second ones in any window against the part of one of ten hosts.
+func TestExtraAttemptsKeepToTheSharedBudget(t *testing.T) {
+	is := is.New(t)
+	const requests, hosts, ratio, burst = 500, 10, 0.2, 50
+	m := testMachine(newDirectory("a", 2))
+	m.SetHosts(hosts)
+	extra := 0
+	now := start
+	for i := range uint64(requests) {
+		sends := of[*Send](arrive(m, now, i, single(true, 2)))
+		now = now.Add(objective / 4)
+		second := of[*Send](clone(m.Step(now, &Woken{})))
+		extra += len(second)
+		for _, send := range append(sends, second...) {
+			end(m, now, send, classifier.OK)
+		}
+	}
+	is.True(extra <= requests*ratio+burst/hosts)
+	is.True(extra >= requests*ratio*9/10)
+}
+
+// TestPromisesUnderAnyOutcome plays random requests and outcomes and holds the
+// machine to its promises.
+func TestPromisesUnderAnyOutcome(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDirectory("abcd", rapid.IntRange(1, 3).Draw(t, "servers"))
+		m := testMachine(d)
+		p := &player{
+			t: t, open: make(map[uint64]*Send), ran: make(map[uint64]bool), ended: make(map[uint64]int),
+			servers: make(map[string]map[string]bool), routes: make(map[uint64]*matcher.Route),
+		}
+		now := start
+		requests := uint64(0)
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "millis")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				requests++
+				p.routes[requests] = rapid.SampledFrom([]*matcher.Route{
+					single(true, 2), single(false, 2), sharded("abcd", 0.75), sharded("ab", 1),
+				}).Draw(t, "route")
+				p.play(arrive(m, now, requests, p.routes[requests]))
+			case 1:
+				p.play(clone(m.Step(now, &Woken{})))
+			case 2:
+				if requests > 0 && rapid.IntRange(0, 4).Draw(t, "leaves") == 0 {
+					request := rapid.Uint64Range(1, requests).Draw(t, "request")
+					p.ended[request]++
+					open := m.flights[request] != nil
+					p.play(clone(m.Step(now, &Abandoned{Request: request})))
+					if !open {
+						p.ended[request]--
+					}
+				}
+			default:
+				p.settle(m, now)
+			}
+		}
+		p.play(clone(m.Step(now.Add(2*timeout), &Woken{})))
+		for request := uint64(1); request <= requests; request++ {
+			if p.ended[request] != 1 {
+				t.Fatalf("request %d has %d ends", request, p.ended[request])
+			}
+		}
+		if m.Len() != 0 || len(m.attempts) != 0 {
+			t.Fatal("something is left in flight")
+		}
+	})
+}
+
+// player keeps what callers and servers see of a machine.
+type player struct {
+	t       *rapid.T
+	open    map[uint64]*Send
+	ran     map[uint64]bool
+	ended   map[uint64]int
+	servers map[string]map[string]bool
+	routes  map[uint64]*matcher.Route
+}
+
+func (p *player) play(actions []Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case *Send:
+			key := fmt.Sprintf("%d/%d", a.Request, a.Part)
+			if p.servers[key] == nil {
+				p.servers[key] = make(map[string]bool)
+			}
+			if p.servers[key][a.Server.ID] {
+				p.t.Fatalf("request %d is sent to %s again", a.Request, a.Server.ID)
+			}
+			if !p.routes[a.Request].Repeatable && p.ran[a.Request] {
+				p.t.Fatalf("request %d is repeated", a.Request)
+			}
+			p.servers[key][a.Server.ID] = true
+			p.open[a.Attempt] = a
+			// A send may run from now on, until it is known that it has not.
+			p.ran[a.Request] = true
+		case *Cancel:
+			delete(p.open, a.Attempt)
+		case *Complete:
+			p.ended[a.Request]++
+		case *Refuse:
+			p.ended[a.Request]++
+			if a.Failure.Code.NotRun() && p.ran[a.Request] {
+				p.t.Fatalf("request %d may have run and is told %v", a.Request, a.Failure.Code)
+			}
+			if a.Failure.Code.NotRun() && a.Failure.RetryAfter <= 0 {
+				p.t.Fatalf("request %d is not told when to come back", a.Request)
+			}
+		}
+	}
+}
+
+// settle ends an open attempt in any way.
+func (p *player) settle(m *Machine, now time.Time) {
+	for id, send := range p.open {
+		code := rapid.SampledFrom([]classifier.Code{
+			classifier.OK, classifier.OK, classifier.ServerShed, classifier.ServerUnreachable,
+			classifier.ServerFailed, classifier.EchoMismatch, classifier.WrongServer,
+		}).Draw(p.t, "code")
+		delete(p.open, id)
+		if code.NotRun() && !p.othersRan(send) {
+			p.ran[send.Request] = false
+		}
+		if !code.NotRun() {
+			p.servers[fmt.Sprintf("ran %d", send.Request)] = map[string]bool{}
+		}
+		p.play(end(m, now, send, code))
+		return
+	}
+}
+
+// othersRan reports whether any other attempt of the request may have run.
+func (p *player) othersRan(send *Send) bool {
+	_, ran := p.servers[fmt.Sprintf("ran %d", send.Request)]
+	for _, other := range p.open {
+		ran = ran || other.Request == send.Request
+	}
+	return ran
+}
--- a/pkg/coordination/watcher/watcher.go
+++ b/pkg/coordination/watcher/watcher.go
@@ -12,12 +12,15 @@
 	// RetryMin and RetryMax bound the delay after a failed call, which doubles.
 	RetryMin time.Duration
 	RetryMax time.Duration
+	// Pause is the least time from a change to the next watch, so that changes
+	// in quick succession come in one page.
+	Pause time.Duration
 }
 
 // DefaultConfig returns delays that notice the return of the store well within
 // the time in which a change must be in force.
 func DefaultConfig() Config {
-	return Config{RetryMin: 100 * time.Millisecond, RetryMax: 800 * time.Millisecond}
+	return Config{RetryMin: 100 * time.Millisecond, RetryMax: 800 * time.Millisecond, Pause: 300 * time.Millisecond}
 }
 
 // Event is an input of the machine.
@@ -137,6 +140,9 @@
 
 func (m *Machine) merged(page storer.Page) []Action {
 	m.regained(page)
+	if len(page.Objects) > 0 && m.cfg.Pause > 0 {
+		return []Action{&Merge{Page: page}, &Wait{Delay: m.cfg.Pause}}
+	}
 	return []Action{&Merge{Page: page}, m.next()}
 }
 
--- /dev/null
+++ b/pkg/coordination/watcher/watcher_test.go
@@ -0,0 +1,70 @@
+package watcher
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/storer"
+)
+
+var start = time.Unix(100, 0)
+
+// last returns the action that names the next call.
+func last(actions []Action) Action {
+	return actions[len(actions)-1]
+}
+
+func TestListThenWatchFromTheList(t *testing.T) {
+	is := is.New(t)
+	m := New(DefaultConfig())
+	is.Equal(m.Step(start, &Woken{}), []Action{&List{}})
+	page := storer.Page{Version: 7}
+	is.Equal(m.Step(start, &Listed{Page: page}), []Action{&Replace{Page: page}, &Watch{After: 7}})
+	page = storer.Page{Version: 9}
+	is.Equal(m.Step(start, &Changed{Page: page}), []Action{&Merge{Page: page}, &Watch{After: 9}})
+	page = storer.Page{Version: 8}
+	is.Equal(last(m.Step(start, &Changed{Page: page})), &Watch{After: 9}) // never back
+}
+
+// TestChangesInQuickSuccessionComeInOnePage waits after each change.
+func TestChangesInQuickSuccessionComeInOnePage(t *testing.T) {
+	is := is.New(t)
+	m := New(DefaultConfig())
+	m.Step(start, &Woken{})
+	m.Step(start, &Listed{Page: storer.Page{Version: 7}})
+	page := storer.Page{Version: 9, Objects: []storer.Object{{Key: "a", Version: 9}}}
+	is.Equal(m.Step(start, &Changed{Page: page}), []Action{&Merge{Page: page}, &Wait{Delay: DefaultConfig().Pause}})
+	is.Equal(m.Step(start, &Woken{}), []Action{&Watch{After: 9}})
+}
+
+// TestGoneHistoryListsAtOnceButNotInALoop lets each watch find its history gone.
+func TestGoneHistoryListsAtOnceButNotInALoop(t *testing.T) {
+	is := is.New(t)
+	m := New(DefaultConfig())
+	m.Step(start, &Woken{})
+	m.Step(start, &Listed{Page: storer.Page{Version: 7}})
+	is.Equal(m.Step(start, &Changed{Err: storer.ErrHistoryGone}), []Action{&List{}})
+	is.Equal(last(m.Step(start, &Listed{Page: storer.Page{Version: 8}})), &Watch{After: 8})
+	_, waits := last(m.Step(start, &Changed{Err: storer.ErrHistoryGone})).(*Wait)
+	is.True(waits)
+}
+
+// TestOutageIsToldAndTimed loses the store for a second.
+func TestOutageIsToldAndTimed(t *testing.T) {
+	is := is.New(t)
+	m := New(Config{RetryMin: 100 * time.Millisecond, RetryMax: 300 * time.Millisecond})
+	m.Step(start, &Woken{})
+	m.Step(start, &Listed{Page: storer.Page{Version: 7}})
+	lost := errors.New("reset")
+	is.Equal(m.Step(start, &Changed{Err: lost}), []Action{&Lost{Err: lost}, &Wait{Delay: 100 * time.Millisecond}})
+	is.Equal(m.Step(start, &Woken{}), []Action{&List{}}) // entries may have lapsed
+	is.Equal(m.Step(start, &Listed{Err: lost}), []Action{&Wait{Delay: 200 * time.Millisecond}})
+	m.Step(start, &Woken{})
+	is.Equal(m.Step(start, &Listed{Err: lost}), []Action{&Wait{Delay: 300 * time.Millisecond}})
+	m.Step(start, &Woken{})
+	page := storer.Page{Version: 20}
+	is.Equal(m.Step(start.Add(time.Second), &Listed{Page: page})[0], &Replace{Page: page, Outage: time.Second})
+	is.Equal(m.Step(start, &Changed{Err: lost})[1], &Wait{Delay: 100 * time.Millisecond}) // the delay begins anew
+}
--- a/pkg/state/keeper/keeper.go
+++ b/pkg/state/keeper/keeper.go
@@ -33,7 +33,7 @@
 	var newer []storer.Object
 	for _, object := range objects {
 		held, ok := k.objects[object.Key]
-		if ok && held.Version >= object.Version {
+		if ok && !goesBefore(held, object) {
 			k.countStale(held, object)
 			continue
 		}
@@ -47,6 +47,31 @@
 	return newer
 }
 
+// goesBefore reports whether an object replaces the one held; a removal may bear
+// the version of the last write.
+func goesBefore(held, object storer.Object) bool {
+	if held.Version == object.Version {
+		return object.Deleted && !held.Deleted
+	}
+	return held.Version < object.Version
+}
+
+// Missing returns the objects held that a list does not name, as deleted at the
+// list's version; a list older than an object says nothing about it.
+func (k *Keeper) Missing(prefix string, page storer.Page) []storer.Object {
+	named := make(map[string]bool, len(page.Objects))
+	for _, object := range page.Objects {
+		named[object.Key] = true
+	}
+	var deleted []storer.Object
+	for _, object := range k.List(prefix) {
+		if !named[object.Key] && !object.Deleted && object.Version <= page.Version {
+			deleted = append(deleted, storer.Object{Key: object.Key, Version: page.Version, Deleted: true})
+		}
+	}
+	return deleted
+}
+
 // toggle adds an object to the digest of its bucket or takes it out again.
 func (k *Keeper) toggle(object storer.Object) {
 	k.digests[Bucket(object.Key)] ^= fingerprint(object.Key, object.Version)
--- a/pkg/state/keeper/keeper_test.go
+++ b/pkg/state/keeper/keeper_test.go
@@ -89,3 +89,24 @@
 	is.Equal(len(objects), 1)
 	is.Equal(objects[0].Key, newer.Key)
 }
+
+func TestMissingNamesOnlyWhatTheListMustKnow(t *testing.T) {
+	is := is.New(t)
+	k := New()
+	k.Merge([]storer.Object{
+		{Key: "a/1", Version: 1}, {Key: "a/2", Version: 2}, {Key: "a/3", Version: 9}, {Key: "b/1", Version: 1},
+		{Key: "a/4", Version: 3, Deleted: true},
+	})
+	missing := k.Missing("a/", storer.Page{Version: 5, Objects: []storer.Object{{Key: "a/1", Version: 1}}})
+	is.Equal(missing, []storer.Object{{Key: "a/2", Version: 5, Deleted: true}}) // a/3 is newer than the list
+}
+
+func TestRemovalMayBearTheVersionOfTheLastWrite(t *testing.T) {
+	is := is.New(t)
+	k := New()
+	k.Merge([]storer.Object{{Key: "a", Version: 4}})
+	is.Equal(len(k.Merge([]storer.Object{{Key: "a", Version: 4, Deleted: true}})), 1)
+	is.Equal(len(k.Merge([]storer.Object{{Key: "a", Version: 4}})), 0)
+	_, ok := k.Get("a")
+	is.True(!ok)
+}
--- a/pkg/state/lister/lister.go
+++ b/pkg/state/lister/lister.go
@@ -117,29 +117,6 @@
 	return *before != *after
 }
 
-// Replace takes a whole list as of a revision: held entries that it lacks are
-// removed, unless they are newer. It returns the IDs whose use has changed.
-func (l *Lister) Replace(now time.Time, entries []Entry, revision uint64) []string {
-	named := make(map[string]bool, len(entries))
-	for _, entry := range entries {
-		named[entry.ID] = true
-	}
-	all := slices.Clone(entries)
-	for id, h := range l.entries {
-		if !named[id] && h.revision < revision {
-			all = append(all, Entry{ID: id, Revision: revision})
-		}
-	}
-	changed := l.Apply(now, all)
-	for id, h := range l.entries {
-		// No change that is older than the list can arrive any more.
-		if h.server == nil && h.revision <= revision {
-			delete(l.entries, id)
-		}
-	}
-	return changed
-}
-
 // Expire removes the servers whose retention has ended and forgets entries
 // without one; it returns the IDs of the servers removed.
 func (l *Lister) Expire(now time.Time) []string {
