pkg/coordination/scatterer: refuse what can't be served before it is sent

Ruled out: the store (lost 6 s, but the list was held) and the servers of the own domain, which answered.

A request that can't reach its coverage with servers that are neither suspended nor cut off is refused at once as not run, with when to come back; one every 300 ms is sent to find out. Before a request fails, open attempts are recalled, and whether they ever left decides between not run and unknown.

--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -177,6 +177,8 @@
 	switch {
 	case !sent && ctx.Err() == nil:
 		return classifier.ServerUnreachable
+	case !sent:
+		return classifier.NotSent
 	case ctx.Err() != nil:
 		return classifier.CodeOf(ctx.Err(), classifier.ServerFailed)
 	}
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -198,6 +198,8 @@
 			s, ok := e.sendings[a.Attempt]
 			if ok {
 				s.cancel()
+			}
+			if !a.Await {
 				delete(e.sendings, a.Attempt)
 			}
 		case *scatterer.Complete:
--- a/internal/forwarder/follower.go
+++ b/internal/forwarder/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -59,7 +60,7 @@
 		f.cfg.Logger.Info(logger.StoreRegained, "prefix", prefix, "outageMillis", a.Outage.Milliseconds(), "revision", a.Page.Version)
 	}
 	f.confirm(prefix)
-	objects := append(a.Page.Objects, f.objects.Missing(prefix, a.Page)...)
+	objects := slices.Concat(a.Page.Objects, f.objects.Missing(prefix, a.Page))
 	f.take(objects, source{whole: prefix == f.cfg.Layout.ServerPrefix, doubtful: a.Outage > 0})
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -87,25 +87,32 @@
 	})
 	calls := http.NewServeMux()
 	calls.Handle(exchangerconnect.NewControlHandler(control{f: f}, connector.HandlerOptions(nil)))
-	for address, handler := range map[string]http.Handler{
-		f.cfg.Settings.Listen.Readiness: mux,
-		f.cfg.Settings.Listen.Metrics:   exported,
-		f.cfg.Settings.Listen.Control:   calls,
-	} {
-		l, err := listener.New(listener.Config{Address: address, Handler: handler})
+	addresses := &f.cfg.Settings.Listen
+	for _, side := range []struct {
+		address *string
+		handler http.Handler
+	}{{&addresses.Readiness, mux}, {&addresses.Metrics, exported}, {&addresses.Control, calls}} {
+		l, err := listener.New(listener.Config{Address: *side.address, Handler: side.handler})
 		if err != nil {
 			return err
 		}
 		f.listeners = append(f.listeners, l)
+		*side.address = l.Address()
 	}
-	l, err := listener.New(listener.Config{Address: f.cfg.Settings.Listen.Callers, Handler: f, Callers: true})
+	l, err := listener.New(listener.Config{Address: addresses.Callers, Handler: f, Callers: true})
 	if err != nil {
 		return err
 	}
 	f.callers = l
+	addresses.Callers = l.Address()
 	return nil
 }
 
+// Settings returns the settings in force, with the addresses that the listeners are bound to.
+func (f *Forwarder) Settings() Settings {
+	return f.cfg.Settings
+}
+
 // Ready reports whether the host can serve: it has a configuration and a list
 // of backend servers, and is not stopping.
 func (f *Forwarder) Ready() bool {
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -25,6 +25,10 @@
 	noServerRetry = 500 * time.Millisecond
 	// overloadRetry is the least time after which a refused caller may come back.
 	overloadRetry = 50 * time.Millisecond
+	// tryInterval is how often a request that seems hopeless is sent to find out.
+	tryInterval = 300 * time.Millisecond
+	// coverageSlack absorbs the rounding of a coverage in parts.
+	coverageSlack = 1e-9
 )
 
 // attempt is one sub-request at one server.
@@ -34,6 +38,8 @@
 	part   int
 	server *lister.Server
 	sent   time.Time
+	// recalled says that the attempt was cancelled and its end is awaited.
+	recalled bool
 }
 
 // part is one shard of a request, or the only service of one.
@@ -60,6 +66,8 @@
 	covered  int
 	settled  int
 	ran      bool
+	// ending is the code of a request that only waits for its attempts to end.
+	ending   classifier.Code
 	arrived  time.Time
 	hedgeAt  time.Time
 	answerBy time.Time
@@ -71,6 +79,8 @@
 type routeStats struct {
 	work    float64
 	weights map[string]float64
+	// tried is when a request that seemed hopeless was last sent.
+	tried time.Time
 }
 
 // routeKey names a route over changes of the configuration.
@@ -154,18 +164,43 @@
 		m.budget(f.parts[i].service).Earn(1)
 	}
 	m.flights[f.id] = f
+	choices := make([]placer.Choice, len(f.parts))
+	sound := 0
 	for i := range f.parts {
-		p := &f.parts[i]
-		choice, ok := m.choose(now, f, p)
-		if !ok {
-			m.settle(f, p, classifier.NoServer)
+		choices[i], _ = m.choose(now, f, &f.parts[i])
+		if choices[i].Server != nil && !choices[i].Doubtful {
+			sound++
+		}
+	}
+	if !f.reaches(sound) && !m.mayTry(now, f) {
+		m.refuse(now, f, classifier.NoServer)
+		return
+	}
+	for i := range f.parts {
+		if choices[i].Server == nil {
+			m.settle(f, &f.parts[i], classifier.NoServer)
 			continue
 		}
-		m.send(now, f, i, choice, ReasonFirst)
+		m.send(now, f, i, choices[i], ReasonFirst)
 	}
 	m.conclude(now, f)
 }
 
+// reaches reports whether a number of parts is enough for an answer.
+func (f *flight) reaches(parts int) bool {
+	return parts > 0 && float64(parts) >= f.coverage*float64(len(f.parts))-coverageSlack
+}
+
+// mayTry reports whether a request that seems hopeless is sent all the same,
+// as one now and then must be to find that servers are back.
+func (m *Machine) mayTry(now time.Time, f *flight) bool {
+	if now.Sub(f.stats.tried) < tryInterval {
+		return false
+	}
+	f.stats.tried = now
+	return true
+}
+
 func (m *Machine) newFlight(now time.Time, e *Arrived) *flight {
 	route := e.Route
 	f := &flight{id: e.Request, route: route, arrived: now, coverage: 1, stats: m.routeStats(route)}
@@ -256,6 +291,7 @@
 		f.ran = true
 	}
 	switch {
+	case f.ending != 0 && e.Code != classifier.OK:
 	case p.settled:
 		return
 	case e.Code == classifier.OK:
@@ -277,7 +313,7 @@
 		return placer.Misplaced
 	case classifier.Canceled:
 		return placer.Withdrawn
-	case classifier.DeadlineExceeded:
+	case classifier.DeadlineExceeded, classifier.NotSent:
 		return placer.Silent
 	default:
 		return placer.Failed
@@ -364,13 +400,14 @@
 // conclude ends a request that has all it can get, or sets its next alarm.
 func (m *Machine) conclude(now time.Time, f *flight) {
 	total := len(f.parts)
-	enough := float64(f.covered) >= f.coverage*float64(total)-1e-9 && f.covered > 0
-	missing := f.settled - f.covered
-	lost := float64(total-missing) < f.coverage*float64(total)-1e-9
+	enough := f.reaches(f.covered)
+	lost := !f.reaches(total - (f.settled - f.covered))
 	switch {
 	case f.settled == total && enough:
 		m.complete(now, f, false)
-	case lost || (f.settled == total):
+	case f.ending != 0:
+		m.refuse(now, f, f.ending)
+	case lost:
 		m.fail(now, f)
 	case enough && !now.Before(f.answerBy):
 		m.complete(now, f, true)
@@ -467,15 +504,19 @@
 }
 
 // refuse ends a request with a code that holds for the whole of it: "not run"
-// is said only if no attempt may have run.
+// is said only if no attempt may have run. What is still open is cancelled
+// first, and what comes of that decides.
 func (m *Machine) refuse(now time.Time, f *flight, code classifier.Code) {
-	mayRun := f.ran
-	for i := range f.parts {
-		mayRun = mayRun || len(f.parts[i].open) > 0
+	f.ending = code
+	if m.recall(f) {
+		return
 	}
-	if mayRun && code.NotRun() {
+	if f.ran && code.NotRun() {
 		code = classifier.ServerFailed
 	}
+	if !f.ran && !code.NotRun() {
+		code = classifier.NotSent
+	}
 	failure := classifier.NewFailure(code, "%d of %d parts", f.covered, len(f.parts))
 	if code.NotRun() {
 		failure = failure.WithRetryAfter(m.comeBack(now, f))
@@ -484,6 +525,26 @@
 	m.out = append(m.out, &Refuse{Request: f.id, Failure: failure, Took: now.Sub(f.arrived)})
 }
 
+// recall cancels the open attempts of a request that has none which surely ran,
+// and reports whether their ends are awaited.
+func (m *Machine) recall(f *flight) bool {
+	if f.ran {
+		return false
+	}
+	open := false
+	for i := range f.parts {
+		for _, a := range f.parts[i].open {
+			open = true
+			if !a.recalled {
+				a.recalled = true
+				m.out = append(m.out, &Cancel{Attempt: a.id, Await: true})
+			}
+		}
+	}
+	m.alarms.Clear(&f.alarm)
+	return open
+}
+
 // comeBack returns when a retry of the request would be served, as far as known.
 func (m *Machine) comeBack(now time.Time, f *flight) time.Duration {
 	longest := overloadRetry
--- a/pkg/coordination/scatterer/types.go
+++ b/pkg/coordination/scatterer/types.go
@@ -93,6 +93,8 @@
 // Cancel ends an attempt whose answer is no longer of use.
 type Cancel struct {
 	Attempt uint64
+	// Await says that an Ended event is wanted, which tells whether the attempt may have run.
+	Await bool
 }
 
 // Complete answers a request from the given attempts, one for each part; 0 is a missing part.
--- a/pkg/protocol/classifier/code.go
+++ b/pkg/protocol/classifier/code.go
@@ -48,6 +48,7 @@
 	WrongServer        Code = 1315
 	UnknownRoute       Code = 1316
 	StaleRoutes        Code = 1317
+	NotSent            Code = 1318
 )
 
 // The codes of orders.
@@ -120,6 +121,7 @@
 	{WrongServer, "wrongServer", http.StatusServiceUnavailable, NotRun, "Another backend server has the address."},
 	{UnknownRoute, "unknownRoute", http.StatusNotFound, NotRun, "No route of the configuration in force matches the request."},
 	{StaleRoutes, "staleRoutes", http.StatusServiceUnavailable, NotRun, "No route matches, and the configuration may be out of date."},
+	{NotSent, "notSent", http.StatusServiceUnavailable, NotRun, "The time ended before the request was sent to a backend server."},
 	{OrderDone, "orderDone", http.StatusOK, Done, "The order has run."},
 	{OrderRepeated, "orderRepeated", http.StatusOK, Done, "The order ran before; this is its recorded result."},
 	{OrderNotRun, "orderNotRun", http.StatusServiceUnavailable, NotRun, "The order has not run."},
