internal/reloader, forwarder: take changed settings without a restart

Settings are now looked at on SIGHUP and every 2 s, and a changed store, seeds, extra attempts and grace time are in force without cutting off a request; a bad file leaves the settings before. Lines of net/http go through the bounded log.

--- a/cmd/rhubarbpost/cmds/host.go
+++ b/cmd/rhubarbpost/cmds/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	stdlog "log"
 	"os"
 	"runtime/debug"
 
@@ -10,6 +11,7 @@
 	"github.com/rhubarbpost/rhubarbpost/internal/exiter"
 	"github.com/rhubarbpost/rhubarbpost/internal/forwarder"
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/internal/reloader"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/merger"
 	"github.com/rhubarbpost/rhubarbpost/platform/adapter"
@@ -38,7 +40,11 @@
 }
 
 func (t *tree) runHost(file string) error {
-	settings, err := forwarder.LoadSettings(file)
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return &exitError{code: exiter.Invalid, cause: err}
+	}
+	settings, err := forwarder.ParseSettings(file, content)
 	if err != nil {
 		return &exitError{code: exiter.Invalid, cause: err}
 	}
@@ -48,15 +54,12 @@
 	cfg := settings.Log.Config
 	cfg.Process, cfg.Host = "host", settings.Name
 	log := logger.New(lines, cfg)
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log.Output(logger.LibraryNoted))
 	ctx, second := exiter.Signals()
 	log.Info(logger.ProcessStarted, "version", version(), "domain", settings.Domain, "listen", settings.Listen.Callers, "store", settings.Store)
-	store := adapter.NewStore(adapter.StoreConfig{
-		Address: settings.Store, CallTimeout: forwarder.StoreCallTimeout, WatchWait: forwarder.WatchWait,
-		DialContext: forwarder.Dialer(forwarder.StoreCallTimeout),
-	})
-	defer store.Close()
 	f, err := forwarder.New(forwarder.Config{
-		Settings: settings, Store: store, Layout: adapter.Layout(), Dialect: adapter.Dialect{},
+		Settings: settings, OpenStore: openStore, Layout: adapter.Layout(), Dialect: adapter.Dialect{},
 		Documents: adapter.Documents{}, Merger: merger.New(adapter.Records{}), Logger: log,
 	})
 	if err != nil {
@@ -67,10 +70,27 @@
 		}
 		return err
 	}
-	<-ctx.Done()
+	reloader.Watch(ctx, file, content, func(data []byte, err error) {
+		var next forwarder.Settings
+		if err == nil {
+			next, err = forwarder.ParseSettings(file, data)
+		}
+		if err != nil {
+			log.Error(logger.SettingsRejected, "error", err)
+			return
+		}
+		f.Reload(next)
+	})
 	return stopHost(f, second)
 }
 
+func openStore(address string) forwarder.Store {
+	return adapter.NewStore(adapter.StoreConfig{
+		Address: address, CallTimeout: forwarder.StoreCallTimeout, WatchWait: forwarder.WatchWait,
+		DialContext: forwarder.Dialer(forwarder.StoreCallTimeout),
+	})
+}
+
 // stopHost stops a host with notice; a second signal ends it at once.
 func stopHost(f *forwarder.Forwarder, second <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -53,11 +53,14 @@
 
 type hostCount struct{ n int }
 
+type extraChange struct{ extra Extra }
+
 func (*arrival) engineEvent()    {}
 func (abandonment) engineEvent() {}
 func (ending) engineEvent()      {}
 func (*listing) engineEvent()    {}
 func (hostCount) engineEvent()   {}
+func (extraChange) engineEvent() {}
 
 // sending is an attempt that has not ended.
 type sending struct {
@@ -158,6 +161,8 @@
 		e.list(now, item)
 	case hostCount:
 		e.machine.SetHosts(item.n)
+	case extraChange:
+		e.machine.SetExtra(extraReserve*item.extra.Ratio, extraReserve*item.extra.Burst)
 	}
 }
 
--- a/internal/forwarder/follower.go
+++ b/internal/forwarder/follower.go
@@ -20,11 +20,11 @@
 		for _, action := range m.Step(time.Now(), next) {
 			switch a := action.(type) {
 			case *watcher.List:
-				page, err := f.cfg.Store.List(ctx, prefix)
+				page, err := f.store.Load().List(ctx, prefix)
 				f.metrics.storeCall("list", err)
 				next = &watcher.Listed{Page: page, Err: err}
 			case *watcher.Watch:
-				page, err := f.cfg.Store.Watch(ctx, prefix, a.After)
+				page, err := f.store.Load().Watch(ctx, prefix, a.After)
 				f.metrics.storeCall("watch", err)
 				next = &watcher.Changed{Page: page, Err: err}
 			case *watcher.Wait:
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -27,8 +27,9 @@
 
 // Config holds what a forwarder works with.
 type Config struct {
-	Settings  Settings
-	Store     storer.Store
+	Settings Settings
+	// OpenStore returns a client of the store at an address.
+	OpenStore func(address string) Store
 	Layout    Layout
 	Dialect   Dialect
 	Documents Documents
@@ -36,6 +37,19 @@
 	Logger    *logger.Logger
 }
 
+// Store is a client of a platform's store.
+type Store interface {
+	storer.Store
+	Close()
+}
+
+// openStore is the client in use with the address that it was opened for.
+type openStore struct {
+	Store
+
+	address string
+}
+
 // Forwarder serves the callers of one host.
 type Forwarder struct {
 	cfg       Config
@@ -47,6 +61,9 @@
 	workers   sync.WaitGroup
 	cancel    context.CancelFunc
 
+	// settings are those in force; a reload replaces them as a whole.
+	settings atomic.Pointer[Settings]
+	store    atomic.Pointer[openStore]
 	// objects are the newest seen of the store, which peers may ask for.
 	objects *keeper.Keeper
 	// lost counts the prefixes that the store doesn't answer for.
@@ -62,6 +79,8 @@
 // New opens the listeners and follows the store.
 func New(cfg Config) (*Forwarder, error) {
 	f := &Forwarder{cfg: cfg, metrics: newCounters(), client: newClient(cfg.Dialect), objects: keeper.New()}
+	f.settings.Store(&cfg.Settings)
+	f.store.Store(&openStore{cfg.OpenStore(cfg.Settings.Store), cfg.Settings.Store})
 	f.engine = newEngine(cfg, f.metrics, f.client)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
@@ -87,7 +106,8 @@
 	})
 	calls := http.NewServeMux()
 	calls.Handle(exchangerconnect.NewControlHandler(control{f: f}, connector.HandlerOptions(nil)))
-	addresses := &f.cfg.Settings.Listen
+	settings := *f.settings.Load()
+	addresses := &settings.Listen
 	for _, side := range []struct {
 		address *string
 		handler http.Handler
@@ -105,12 +125,30 @@
 	}
 	f.callers = l
 	addresses.Callers = l.Address()
+	f.settings.Store(&settings)
 	return nil
 }
 
 // Settings returns the settings in force, with the addresses that the listeners are bound to.
 func (f *Forwarder) Settings() Settings {
-	return f.cfg.Settings
+	return *f.settings.Load()
+}
+
+// Reload puts changed settings in force without a request being cut off. Name,
+// failure domain, listeners and log stay as they are until a restart.
+func (f *Forwarder) Reload(next Settings) {
+	held := f.Settings()
+	next.Name, next.Domain, next.Listen, next.Log = held.Name, held.Domain, held.Listen, held.Log
+	f.settings.Store(&next)
+	f.engine.push(extraChange{next.Extra})
+	old := f.store.Load()
+	if old.address != next.Store {
+		f.store.Store(&openStore{f.cfg.OpenStore(next.Store), next.Store})
+		// Calls under way at the old address end by themselves.
+		old.Close()
+	}
+	f.cfg.Logger.Info(logger.SettingsReloaded, "store", next.Store, "seeds", len(next.Seeds),
+		"extraRatio", next.Extra.Ratio, "extraBurst", next.Extra.Burst, "grace", next.Grace)
 }
 
 // Ready reports whether the host can serve: it has a configuration and a list
@@ -143,7 +181,7 @@
 	begun := time.Now()
 	f.stopping.Store(true)
 	sleep(ctx, noticeTime)
-	ctx, cancel := context.WithDeadline(ctx, begun.Add(f.cfg.Settings.Grace.Value()-exitReserve))
+	ctx, cancel := context.WithDeadline(ctx, begun.Add(f.Settings().Grace.Value()-exitReserve))
 	defer cancel()
 	err := f.callers.Shutdown(ctx)
 	cut := f.callers.InFlight()
@@ -173,4 +211,5 @@
 	}
 	f.engine.close()
 	f.client.close()
+	f.store.Load().Close()
 }
--- a/internal/forwarder/members.go
+++ b/internal/forwarder/members.go
@@ -56,7 +56,7 @@
 		}
 		*joined = true
 	}
-	page, err := f.cfg.Store.List(ctx, f.cfg.Layout.HostPrefix)
+	page, err := f.store.Load().List(ctx, f.cfg.Layout.HostPrefix)
 	f.metrics.storeCall("list", err)
 	if err != nil {
 		return 0, err
@@ -67,22 +67,22 @@
 
 // join writes the entry of this host unless it is there as it should be.
 func (f *Forwarder) join(ctx context.Context) error {
-	key := f.cfg.Layout.HostPrefix + f.cfg.Settings.Name
-	value, err := json.Marshal(member{Domain: f.cfg.Settings.Domain, Control: f.cfg.Settings.Listen.Control})
+	key := f.cfg.Layout.HostPrefix + f.Settings().Name
+	value, err := json.Marshal(member{Domain: f.Settings().Domain, Control: f.Settings().Listen.Control})
 	if err != nil {
 		return err
 	}
-	_, err = f.cfg.Store.Put(ctx, key, value, storer.Absent)
+	_, err = f.store.Load().Put(ctx, key, value, storer.Absent)
 	f.metrics.storeCall("put", err)
 	if !errors.Is(err, storer.ErrConflict) {
 		return err
 	}
-	held, err := f.cfg.Store.Get(ctx, key)
+	held, err := f.store.Load().Get(ctx, key)
 	f.metrics.storeCall("get", err)
 	if err != nil || string(held.Value) == string(value) {
 		return err
 	}
-	_, err = f.cfg.Store.Put(ctx, key, value, held.Version)
+	_, err = f.store.Load().Put(ctx, key, value, held.Version)
 	f.metrics.storeCall("put", err)
 	return err
 }
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -59,7 +59,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	peer := exchangerconnect.NewControlClient(client, "http://"+address, connector.ClientOptions(nil))
-	newer, _, err := comparer.Fetch(ctx, peer, f.cfg.Settings.Name, f.objects)
+	newer, _, err := comparer.Fetch(ctx, peer, f.Settings().Name, f.objects)
 	if err != nil || len(newer) > 0 {
 		f.cfg.Logger.Info(logger.PeerAsked, "peer", address, "newer", len(newer), "error", err)
 	}
@@ -82,7 +82,7 @@
 
 // peers returns the control addresses of the other hosts known.
 func (f *Forwarder) peers() []string {
-	own := f.cfg.Settings.Listen.Control
+	own := f.Settings().Listen.Control
 	seen := map[string]bool{own: true}
 	var addresses []string
 	add := func(address string) {
@@ -91,7 +91,7 @@
 			addresses = append(addresses, address)
 		}
 	}
-	for _, address := range f.cfg.Settings.Seeds {
+	for _, address := range f.Settings().Seeds {
 		add(address)
 	}
 	for _, object := range f.objects.List(f.cfg.Layout.HostPrefix) {
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"os"
 	"strconv"
 	"time"
 
@@ -79,15 +78,6 @@
 	BytesPerSecond int `json:"bytesPerSecond"`
 }
 
-// LoadSettings reads a settings file; errors name file, line, column, field and what is allowed.
-func LoadSettings(file string) (Settings, error) {
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return Settings{}, err
-	}
-	return ParseSettings(file, data)
-}
-
 // ParseSettings decodes and checks settings.
 func ParseSettings(file string, data []byte) (Settings, error) {
 	s, err := decoder.Document[Settings](file, data)
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -62,6 +62,7 @@
 	SettingsReloaded Event = 540
 	SettingsRejected Event = 541
 	LinesDropped     Event = 550
+	LibraryNoted     Event = 551
 )
 
 // Entry is one row of the catalogue of log events.
@@ -113,6 +114,7 @@
 	{SettingsReloaded, "settingsReloaded", "The settings file has changed and is in force."},
 	{SettingsRejected, "settingsRejected", "The changed settings file is invalid; the settings before stay."},
 	{LinesDropped, "linesDropped", "Log lines were dropped to bound the volume."},
+	{LibraryNoted, "libraryNoted", "A library wrote a line, such as net/http of a connection with bytes that belong to no request."},
 }
 
 // Catalogue returns all log events in ascending order.
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -88,6 +88,23 @@
 	l.log.Error(event.String(), withNumber(event, pairs)...)
 }
 
+// Output returns a writer that makes each write a warning of one event, for
+// libraries that write lines of their own.
+func (l *Logger) Output(event Event) io.Writer {
+	return output{log: l, event: event}
+}
+
+type output struct {
+	log   *Logger
+	event Event
+}
+
+// Write logs the bytes as one line.
+func (o output) Write(p []byte) (int, error) {
+	o.log.Warn(o.event, "text", strings.TrimSpace(string(p)))
+	return len(p), nil
+}
+
 func withNumber(event Event, pairs []any) []any {
 	line := append([]any{"event", int(event)}, pairs...)
 	for i, value := range line {
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -118,8 +118,18 @@
 // SetHosts changes the number of hosts that share the extra attempts.
 func (m *Machine) SetHosts(hosts int) {
 	m.cfg.Hosts = max(hosts, 1)
+	m.refit()
+}
+
+// SetExtra changes the second attempts that all hosts together may send.
+func (m *Machine) SetExtra(ratio, burst float64) {
+	m.cfg.ExtraRatio, m.cfg.ExtraBurst = ratio, burst
+	m.refit()
+}
+
+func (m *Machine) refit() {
 	for _, budget := range m.budgets {
-		*budget = budget.WithCapacity(m.burst())
+		*budget = budget.WithRatio(m.cfg.ExtraRatio).WithCapacity(m.burst())
 	}
 }
 
