pkg/coordination/assessor, placer: a host that is cut off leaves the rotation

Ruled out: slow detection alone; with detection in no time the requests still had no server.

A host that loses half of its requests while the store doesn't answer is not ready for 4 s or until the store is back, and closes kept connections with notice. A failure domain from which nothing is heard for 250 ms after four sends counts as cut off as a whole, and the store is asked at once when requests are lost, since a waiting watch notices a silent cut after 2.7 s.

--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/assessor"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
@@ -17,7 +19,7 @@
 	// eventRing holds the events of some hundred requests over some hundred shards.
 	eventRing = 4096
 	// expiryInterval is how often lapsed entries are looked for.
-	expiryInterval = 250 * time.Millisecond
+	expiryInterval = 200 * time.Millisecond
 )
 
 // event is an input of the engine.
@@ -55,12 +57,16 @@
 
 type extraChange struct{ extra Extra }
 
+// storeState says whether the store answers.
+type storeState struct{ answers bool }
+
 func (*arrival) engineEvent()    {}
 func (abandonment) engineEvent() {}
 func (ending) engineEvent()      {}
 func (*listing) engineEvent()    {}
 func (hostCount) engineEvent()   {}
 func (extraChange) engineEvent() {}
+func (storeState) engineEvent()  {}
 
 // sending is an attempt that has not ended.
 type sending struct {
@@ -71,31 +77,36 @@
 
 // engine runs the scatterer in one goroutine and carries out its actions.
 type engine struct {
-	log       *logger.Logger
-	metrics   *counters
-	client    *client
-	ring      *ringer.Ring[event]
-	machine   *scatterer.Machine
-	servers   *lister.Lister
-	requests  map[uint64]*arrival
-	sendings  map[uint64]sending
-	answers   map[uint64]map[uint64]*Answer
-	listed    chan struct{}
-	listOnce  sync.Once
-	exchanges sync.WaitGroup
-	ctx       context.Context
-	cancel    context.CancelFunc
-	done      chan struct{}
+	log      *logger.Logger
+	metrics  *counters
+	client   *client
+	ring     *ringer.Ring[event]
+	machine  *scatterer.Machine
+	servers  *lister.Lister
+	assessor *assessor.Assessor
+	unfit    atomic.Bool
+	// checkStore asks the store for a sign of life and tells the engine of none.
+	checkStore func()
+	requests   map[uint64]*arrival
+	sendings   map[uint64]sending
+	answers    map[uint64]map[uint64]*Answer
+	listed     chan struct{}
+	listOnce   sync.Once
+	exchanges  sync.WaitGroup
+	ctx        context.Context
+	cancel     context.CancelFunc
+	done       chan struct{}
 }
 
-func newEngine(cfg Config, metrics *counters, c *client) *engine {
+func newEngine(cfg Config, metrics *counters, c *client, checkStore func()) *engine {
 	servers := lister.New(lister.Config{Retention: retention})
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &engine{
-		log: cfg.Logger, metrics: metrics, client: c,
+		log: cfg.Logger, metrics: metrics, client: c, checkStore: checkStore,
 		ring:     ringer.New[event](eventRing),
 		machine:  scatterer.New(cfg.Settings.scatterer(), servers),
 		servers:  servers,
+		assessor: assessor.New(assessor.DefaultConfig()),
 		requests: make(map[uint64]*arrival),
 		sendings: make(map[uint64]sending),
 		answers:  make(map[uint64]map[uint64]*Answer),
@@ -140,6 +151,7 @@
 			e.act(e.machine.Step(time.Now(), &scatterer.Woken{}))
 		case <-expiry.C:
 			e.unlist(e.servers.Expire(time.Now()), "lapsed")
+			e.assess(time.Now())
 		case <-e.ctx.Done():
 			return
 		}
@@ -161,6 +173,8 @@
 		e.list(now, item)
 	case hostCount:
 		e.machine.SetHosts(item.n)
+	case storeState:
+		e.assessor.Store(now, item.answers)
 	case extraChange:
 		e.machine.SetExtra(extraReserve*item.extra.Ratio, extraReserve*item.extra.Burst)
 	}
@@ -245,6 +259,7 @@
 		e.log.Info(logger.RequestAnswered, "request", r.call.ID, "route", r.route.Name, "version", r.version,
 			"covered", covered, "parts", len(answers), "early", a.Early, "tookMillis", a.Took.Milliseconds())
 	}
+	e.assessor.Ended(time.Now(), true)
 	r.reply <- reply{answers: answers}
 	e.forget(a.Request)
 }
@@ -255,10 +270,24 @@
 	e.log.Warn(logger.RequestRefused, "request", r.call.ID, "route", r.route.Name, "version", r.version,
 		"result", a.Failure.Code, "detail", a.Failure.Detail, "notRun", a.Failure.Code.NotRun(),
 		"retryAfterMillis", a.Failure.RetryAfter.Milliseconds(), "tookMillis", a.Took.Milliseconds())
+	e.assessor.Ended(time.Now(), false)
 	r.reply <- reply{failure: a.Failure}
 	e.forget(a.Request)
 }
 
+// assess decides whether this host should take callers.
+func (e *engine) assess(now time.Time) {
+	if e.assessor.Doubts(now) {
+		e.checkStore()
+	}
+	unfit := !e.assessor.Fit(now)
+	if unfit == e.unfit.Load() {
+		return
+	}
+	e.unfit.Store(unfit)
+	e.log.Warn(logger.FitnessChanged, "fit", !unfit, "inFlight", e.machine.Len(), "servers", e.servers.Usable())
+}
+
 func (e *engine) forget(id uint64) {
 	delete(e.requests, id)
 	delete(e.answers, id)
--- a/internal/forwarder/follower.go
+++ b/internal/forwarder/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -12,6 +13,9 @@
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/storer"
 )
 
+// checkTimeout is many times the usual answer time of the store.
+const checkTimeout = 300 * time.Millisecond
+
 // follow runs a watcher of one prefix until the context ends.
 func (f *Forwarder) follow(ctx context.Context, prefix string) {
 	m := watcher.New(watcher.DefaultConfig())
@@ -36,7 +40,7 @@
 				f.confirm(prefix)
 				f.take(a.Page.Objects, source{})
 			case *watcher.Lost:
-				f.lost.Add(1)
+				f.engine.push(storeState{answers: f.lost.Add(1) == 0})
 				f.cfg.Logger.Warn(logger.StoreLost, "prefix", prefix, "error", a.Err)
 			}
 		}
@@ -53,10 +57,38 @@
 	}
 }
 
+// checkStore asks the store for the entry of this host until it answers, since
+// a watch that waits notices a cut late; one check runs at a time.
+func (f *Forwarder) checkStore(ctx context.Context) {
+	if !f.checking.CompareAndSwap(false, true) {
+		return
+	}
+	f.checks.Go(func() {
+		defer f.checking.Store(false)
+		for told := false; ctx.Err() == nil && f.lost.Load() == 0; told = true {
+			call, cancel := context.WithTimeout(ctx, checkTimeout)
+			_, err := f.store.Load().Get(call, f.cfg.Layout.HostPrefix+f.Settings().Name)
+			cancel()
+			f.metrics.storeCall("get", err)
+			if err == nil || errors.Is(err, storer.ErrNotFound) {
+				if told {
+					f.engine.push(storeState{answers: true})
+				}
+				return
+			}
+			if !told {
+				f.cfg.Logger.Warn(logger.StoreLost, "prefix", f.cfg.Layout.HostPrefix, "error", err)
+				f.engine.push(storeState{answers: false})
+			}
+			sleep(ctx, checkTimeout)
+		}
+	})
+}
+
 // replaced takes a whole list.
 func (f *Forwarder) replaced(prefix string, a *watcher.Replace) {
 	if a.Outage > 0 {
-		f.lost.Add(-1)
+		f.engine.push(storeState{answers: f.lost.Add(-1) == 0})
 		f.cfg.Logger.Info(logger.StoreRegained, "prefix", prefix, "outageMillis", a.Outage.Milliseconds(), "revision", a.Page.Version)
 	}
 	f.confirm(prefix)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -68,6 +68,8 @@
 	objects *keeper.Keeper
 	// lost counts the prefixes that the store doesn't answer for.
 	lost        atomic.Int64
+	checking    atomic.Bool
+	checks      sync.WaitGroup
 	table       atomic.Pointer[matcher.Table]
 	adopting    sync.Mutex
 	confirmed   atomic.Int64
@@ -81,9 +83,9 @@
 	f := &Forwarder{cfg: cfg, metrics: newCounters(), client: newClient(cfg.Dialect), objects: keeper.New()}
 	f.settings.Store(&cfg.Settings)
 	f.store.Store(&openStore{cfg.OpenStore(cfg.Settings.Store), cfg.Settings.Store})
-	f.engine = newEngine(cfg, f.metrics, f.client)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
+	f.engine = newEngine(cfg, f.metrics, f.client, func() { f.checkStore(ctx) })
 	err := f.listen()
 	if err != nil {
 		f.Close()
@@ -152,16 +154,21 @@
 }
 
 // Ready reports whether the host can serve: it has a configuration and a list
-// of backend servers, and is not stopping.
+// of backend servers, is not stopping and not cut off.
 func (f *Forwarder) Ready() bool {
 	select {
 	case <-f.engine.listed:
-		return f.table.Load() != nil && !f.stopping.Load()
+		return f.table.Load() != nil && !f.leaving()
 	default:
 		return false
 	}
 }
 
+// leaving reports whether callers should go to another host.
+func (f *Forwarder) leaving() bool {
+	return f.stopping.Load() || f.engine.unfit.Load()
+}
+
 func (f *Forwarder) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !f.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -210,6 +217,7 @@
 		_ = l.Close()
 	}
 	f.engine.close()
+	f.checks.Wait()
 	f.client.close()
 	f.store.Load().Close()
 }
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -30,7 +30,7 @@
 
 // ServeHTTP serves one request of a caller.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.stopping.Load() {
+	if f.leaving() {
 		w.Header().Set("Connection", "close")
 	}
 	a, failure := f.accept(w, r)
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -59,6 +59,7 @@
 	HostsChanged     Event = 532
 	MemberFailed     Event = 533
 	PeerAsked        Event = 534
+	FitnessChanged   Event = 535
 	SettingsReloaded Event = 540
 	SettingsRejected Event = 541
 	LinesDropped     Event = 550
@@ -111,6 +112,7 @@
 	{HostsChanged, "hostsChanged", "The number of hosts that share the extra attempts has changed."},
 	{MemberFailed, "memberFailed", "The entry of this host in the store could not be written or read."},
 	{PeerAsked, "peerAsked", "A peer was asked for the objects that this host lacks."},
+	{FitnessChanged, "fitnessChanged", "The host asks to be left out by the balancer, since it is cut off, or takes callers again."},
 	{SettingsReloaded, "settingsReloaded", "The settings file has changed and is in force."},
 	{SettingsRejected, "settingsRejected", "The changed settings file is invalid; the settings before stay."},
 	{LinesDropped, "linesDropped", "Log lines were dropped to bound the volume."},
--- /dev/null
+++ b/pkg/coordination/assessor/assessor.go
@@ -0,0 +1,102 @@
+package assessor
+
+import "time"
+
+// Config holds the settings of an assessor.
+type Config struct {
+	// Window is how far back requests count.
+	Window time.Duration
+	// Least is the number of requests in the window that allow a judgement.
+	Least int
+	// Share is the part of them without service at which a host is unfit.
+	Share float64
+	// Hold is how long a host stays unfit before it tries again.
+	Hold time.Duration
+}
+
+// DefaultConfig returns settings under which a host that is cut off is out of
+// rotation within some three seconds, two of which the balancer takes.
+func DefaultConfig() Config {
+	return Config{Window: 700 * time.Millisecond, Least: 3, Share: 0.5, Hold: 4 * time.Second}
+}
+
+type outcome struct {
+	at     time.Time
+	served bool
+}
+
+// Assessor counts what became of the requests of late.
+type Assessor struct {
+	cfg      Config
+	outcomes []outcome
+	// away is since when the store does not answer, zero if it does.
+	away time.Time
+	// unfit is until when the host takes no callers.
+	unfit time.Time
+}
+
+// New returns an assessor that judges a host fit.
+func New(cfg Config) *Assessor {
+	return &Assessor{cfg: cfg}
+}
+
+// Ended notes whether a request was served.
+func (a *Assessor) Ended(now time.Time, served bool) {
+	a.outcomes = append(a.outcomes, outcome{at: now, served: served})
+	a.trim(now)
+}
+
+// Store notes whether the store answers; its return ends a judgement at once.
+func (a *Assessor) Store(now time.Time, answers bool) {
+	switch {
+	case answers && !a.away.IsZero():
+		a.away = time.Time{}
+		a.unfit = time.Time{}
+		a.outcomes = a.outcomes[:0]
+	case !answers && a.away.IsZero():
+		a.away = now
+	}
+}
+
+func (a *Assessor) trim(now time.Time) {
+	old := 0
+	for old < len(a.outcomes) && now.Sub(a.outcomes[old].at) > a.cfg.Window {
+		old++
+	}
+	a.outcomes = append(a.outcomes[:0], a.outcomes[old:]...)
+}
+
+// Fit reports whether the host should take callers.
+func (a *Assessor) Fit(now time.Time) bool {
+	if now.Before(a.unfit) {
+		return false
+	}
+	if a.away.IsZero() {
+		// With the store in reach a lack of servers is the same everywhere.
+		return true
+	}
+	if !a.losing(now) {
+		return true
+	}
+	a.unfit = now.Add(a.cfg.Hold)
+	a.outcomes = a.outcomes[:0]
+	return false
+}
+
+// Doubts reports whether so many requests are lost that the store, which seems
+// to answer, should be asked.
+func (a *Assessor) Doubts(now time.Time) bool {
+	return a.away.IsZero() && a.losing(now)
+}
+
+// losing reports whether too many of the requests of late were not served.
+func (a *Assessor) losing(now time.Time) bool {
+	a.trim(now)
+	lost := 0
+	for _, o := range a.outcomes {
+		if !o.served {
+			lost++
+		}
+	}
+	return lost >= a.cfg.Least && float64(lost) >= a.cfg.Share*float64(len(a.outcomes))
+}
--- /dev/null
+++ b/pkg/coordination/assessor/assessor_test.go
@@ -0,0 +1,57 @@
+package assessor
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(100, 0)
+
+func lose(a *Assessor, now time.Time, n int) {
+	for range n {
+		a.Ended(now, false)
+	}
+}
+
+// TestCutOffHostIsUnfit loses the store and the servers, as in a cut of a failure domain.
+func TestCutOffHostIsUnfit(t *testing.T) {
+	is := is.New(t)
+	a := New(DefaultConfig())
+	lose(a, start, 10)
+	is.True(a.Doubts(start))
+	is.True(a.Fit(start)) // with the store in reach others fare no better
+	a.Store(start, false)
+	is.True(!a.Fit(start))
+	is.True(!a.Fit(start.Add(DefaultConfig().Hold - 1)))
+	is.True(a.Fit(start.Add(DefaultConfig().Hold))) // it tries again
+	lose(a, start.Add(DefaultConfig().Hold), 10)
+	is.True(!a.Fit(start.Add(DefaultConfig().Hold)))
+	a.Store(start.Add(DefaultConfig().Hold), true)
+	is.True(a.Fit(start.Add(DefaultConfig().Hold))) // at once
+}
+
+// TestOutageOfTheStoreAloneLeavesTheHostFit serves on through an outage.
+func TestOutageOfTheStoreAloneLeavesTheHostFit(t *testing.T) {
+	is := is.New(t)
+	a := New(DefaultConfig())
+	a.Store(start, false)
+	for range 7 {
+		a.Ended(start, true)
+	}
+	lose(a, start, 6)
+	is.True(a.Fit(start))
+	lose(a, start, 1)
+	is.True(!a.Fit(start))
+}
+
+func TestOldOutcomesDoNotCount(t *testing.T) {
+	is := is.New(t)
+	a := New(DefaultConfig())
+	a.Store(start, false)
+	lose(a, start, 10)
+	later := start.Add(2 * DefaultConfig().Window)
+	lose(a, later, DefaultConfig().Least-1)
+	is.True(a.Fit(later))
+}
--- a/pkg/coordination/placer/placer.go
+++ b/pkg/coordination/placer/placer.go
@@ -21,9 +21,12 @@
 	// suspensionMin and suspensionMax bound the time between single tries of a suspended server.
 	suspensionMin = 250 * time.Millisecond
 	suspensionMax = 2 * time.Second
-	// domainServers is how many servers of a failure domain must be silent in a
-	// row before the domain is taken to be cut off.
-	domainServers = 4
+	// domainSends is how many attempts into a failure domain must be without any
+	// answer before it is taken to be cut off.
+	domainSends = 4
+	// domainSilence is how long no server of a failure domain may have answered;
+	// a pause of one server is shorter, and others answer meanwhile.
+	domainSilence = 250 * time.Millisecond
 	// domainRetry is the time between single tries into a failure domain that seems cut off.
 	domainRetry = 300 * time.Millisecond
 )
@@ -98,8 +101,10 @@
 
 // domain is what this host has seen of one failure domain.
 type domain struct {
-	silent map[string]bool
-	tried  time.Time
+	// sends counts the attempts since the last answer, from the first of them on.
+	sends int
+	since time.Time
+	tried time.Time
 }
 
 // Placer holds the observations of all backend servers.
@@ -126,7 +131,7 @@
 func (p *Placer) domain(name string) *domain {
 	d := p.domains[name]
 	if d == nil {
-		d = &domain{silent: make(map[string]bool)}
+		d = &domain{}
 		p.domains[name] = d
 	}
 	return d
@@ -235,7 +240,12 @@
 		return false
 	}
 	d := p.domain(held.domain)
-	return len(d.silent) >= domainServers && now.Sub(d.tried) < domainRetry
+	return d.silent(now) && now.Sub(d.tried) < domainRetry
+}
+
+// silent reports whether nothing has been heard from the domain for long.
+func (d *domain) silent(now time.Time) bool {
+	return d.sends >= domainSends && now.Sub(d.since) >= domainSilence
 }
 
 // Sent notes a send to a server.
@@ -243,9 +253,13 @@
 	held := p.server(s)
 	held.sent = append(held.sent, now)
 	d := p.domain(held.domain)
-	if len(d.silent) >= domainServers && now.Sub(d.tried) >= domainRetry {
+	if d.silent(now) && now.Sub(d.tried) >= domainRetry {
 		d.tried = now
 	}
+	if d.sends == 0 {
+		d.since = now
+	}
+	d.sends++
 }
 
 // Ended notes the end of an attempt that was sent at a time.
@@ -261,28 +275,29 @@
 	if result.Load != nil {
 		held.load, held.reported = *result.Load, now
 	}
+	if result.Outcome == Answered || result.Outcome == Rejected || result.Outcome == Misplaced {
+		p.domain(held.domain).sends = 0
+	}
 	switch result.Outcome {
 	case Answered:
-		p.answered(now, held, result)
+		held.answered(now, result, p.cfg.Memory)
 	case Rejected:
 		held.load, held.reported = Load{Running: 1, Waiting: 2}, now
 	case Failed:
 		held.fail(now)
 	case Silent:
 		held.observe(now, result, p.cfg.Memory)
-		p.domain(held.domain).silent[id] = true
 	case Misplaced:
 		held.misplaced = true
 	case Withdrawn:
 	}
 }
 
-func (p *Placer) answered(now time.Time, held *server, result Result) {
-	held.observe(now, result, p.cfg.Memory)
-	held.inARow = 0
-	held.pause = 0
-	held.failures -= failureSmoothing * held.failures
-	clear(p.domain(held.domain).silent)
+func (s *server) answered(now time.Time, result Result, memory time.Duration) {
+	s.observe(now, result, memory)
+	s.inARow = 0
+	s.pause = 0
+	s.failures -= failureSmoothing * s.failures
 }
 
 // observe moves the average by one latency.
