--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -23,7 +23,7 @@
 	// with; the rest covers hosts that are not known yet.
 	extraReserve = 0.8
 	// foreignCost weighs the price of bytes between failure domains.
-	foreignCost = 0.3
+	foreignCost = 1.0
 	// queueCost is what a request in front adds to the time at a server of two slots.
 	queueCost = 2
 	// latencyMemory is some pauses of a server, after which a latency says little.
