--- a/cmd/rhubarbpost/cmds/cmds.go
+++ b/cmd/rhubarbpost/cmds/cmds.go
@@ -59,6 +59,7 @@
 	t.addProcess("agent", "Watch the platform and spread configuration between hosts.", runAgent)
 	t.addProcess("console", "Serve the operators' console.", runConsole)
 	t.addHost()
+	t.addExplain()
 	t.addConfig()
 	t.addVersion()
 	return t
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +22,10 @@
 	eventRing = 4096
 	// expiryInterval is how often lapsed entries are looked for.
 	expiryInterval = 200 * time.Millisecond
+	// sampleEvery is how many whole answers there are to one line in the log.
+	sampleEvery = 200
+	// describedParts bounds the parts that a line names.
+	describedParts = 6
 )
 
 // event is an input of the engine.
@@ -90,12 +96,14 @@
 	requests   map[uint64]*arrival
 	sendings   map[uint64]sending
 	answers    map[uint64]map[uint64]*Answer
-	listed     chan struct{}
-	listOnce   sync.Once
-	exchanges  sync.WaitGroup
-	ctx        context.Context
-	cancel     context.CancelFunc
-	done       chan struct{}
+	// completed counts answers, for the sample in the log.
+	completed int
+	listed    chan struct{}
+	listOnce  sync.Once
+	exchanges sync.WaitGroup
+	ctx       context.Context
+	cancel    context.CancelFunc
+	done      chan struct{}
 }
 
 func newEngine(cfg Config, metrics *counters, c *client, checkStore func()) *engine {
@@ -255,21 +263,42 @@
 		}
 	}
 	e.metrics.answered(r.route, a.Took, covered == len(answers))
-	if a.Early || covered < len(answers) {
+	e.completed++
+	if covered < len(answers) || e.completed%sampleEvery == 0 {
 		e.log.Info(logger.RequestAnswered, "request", r.call.ID, "route", r.route.Name, "version", r.version,
-			"covered", covered, "parts", len(answers), "early", a.Early, "tookMillis", a.Took.Milliseconds())
+			"covered", covered, "parts", len(answers), "early", a.Early, "missing", describe(a.Missing),
+			"tookMillis", a.Took.Milliseconds(), "leftMillis", (r.call.Left - a.Took).Milliseconds())
 	}
 	e.assessor.Ended(time.Now(), true)
 	r.reply <- reply{answers: answers}
 	e.forget(a.Request)
 }
 
+// describe writes the parts without an answer on one line, as
+// service=result[server server]; the first ones tell the cause.
+func describe(missing []scatterer.MissingPart) string {
+	var b strings.Builder
+	for i, part := range missing {
+		if i == describedParts {
+			fmt.Fprintf(&b, " and %d more", len(missing)-i)
+			break
+		}
+		result := "outstanding"
+		if part.Code != 0 {
+			result = part.Code.String()
+		}
+		fmt.Fprintf(&b, " %s=%s%v", part.Service, result, part.Tried)
+	}
+	return strings.TrimSpace(b.String())
+}
+
 func (e *engine) refuse(a *scatterer.Refuse) {
 	r := e.requests[a.Request]
 	e.metrics.refused(a.Failure.Code)
 	e.log.Warn(logger.RequestRefused, "request", r.call.ID, "route", r.route.Name, "version", r.version,
 		"result", a.Failure.Code, "detail", a.Failure.Detail, "notRun", a.Failure.Code.NotRun(),
-		"retryAfterMillis", a.Failure.RetryAfter.Milliseconds(), "tookMillis", a.Took.Milliseconds())
+		"retryAfterMillis", a.Failure.RetryAfter.Milliseconds(), "missing", describe(a.Missing),
+		"tookMillis", a.Took.Milliseconds(), "leftMillis", (r.call.Left - a.Took).Milliseconds())
 	e.assessor.Ended(time.Now(), false)
 	r.reply <- reply{failure: a.Failure}
 	e.forget(a.Request)
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -482,8 +482,21 @@
 			answers[i] = f.parts[i].answered
 		}
 	}
+	missing := f.missing()
 	m.close(now, f)
-	m.out = append(m.out, &Complete{Request: f.id, Attempts: answers, Early: early, Took: now.Sub(f.arrived)})
+	m.out = append(m.out, &Complete{Request: f.id, Attempts: answers, Missing: missing, Early: early, Took: now.Sub(f.arrived)})
+}
+
+// missing returns the parts without an answer.
+func (f *flight) missing() []MissingPart {
+	var list []MissingPart
+	for i := range f.parts {
+		p := &f.parts[i]
+		if !p.settled || p.code != classifier.OK {
+			list = append(list, MissingPart{Service: p.service, Code: p.code, Tried: p.tried})
+		}
+	}
+	return list
 }
 
 // fail ends a request that can't be served: with the server's own answer where
@@ -531,8 +544,9 @@
 	if code.NotRun() {
 		failure = failure.WithRetryAfter(m.comeBack(now, f))
 	}
+	missing := f.missing()
 	m.close(now, f)
-	m.out = append(m.out, &Refuse{Request: f.id, Failure: failure, Took: now.Sub(f.arrived)})
+	m.out = append(m.out, &Refuse{Request: f.id, Failure: failure, Missing: missing, Took: now.Sub(f.arrived)})
 }
 
 // recall cancels the open attempts of a request that has none which surely ran,
--- a/pkg/coordination/scatterer/types.go
+++ b/pkg/coordination/scatterer/types.go
@@ -97,10 +97,20 @@
 	Await bool
 }
 
+// MissingPart says why a part of a request has no answer.
+type MissingPart struct {
+	Service string
+	// Code is the result of the last attempt, 0 while attempts were still out.
+	Code classifier.Code
+	// Tried names the servers that the part was sent to, in their order.
+	Tried []string
+}
+
 // Complete answers a request from the given attempts, one for each part; 0 is a missing part.
 type Complete struct {
 	Request  uint64
 	Attempts []uint64
+	Missing  []MissingPart
 	Early    bool
 	Took     time.Duration
 }
@@ -109,6 +119,7 @@
 type Refuse struct {
 	Request uint64
 	Failure *classifier.Failure
+	Missing []MissingPart
 	Took    time.Duration
 }
 
