pkg/coordination/delegator: large hosts gather where connections are few

Where hosts times two exceed the connections of a shard's servers, a host hands the caller's request as it is to one of the largest hosts of its own failure domain, a second one if that fails, and fans out by itself as the last resort.

--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -60,3 +60,7 @@
 func (c *counters) peerCall(err error) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_peer_calls_total{ok=\"%t\"}", err == nil)).Inc()
 }
+
+func (c *counters) handedOver(err error) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_queries_handed_over_total{ok=\"%t\"}", err == nil)).Inc()
+}
--- /dev/null
+++ b/internal/forwarder/delegate.go
@@ -0,0 +1,201 @@
+package forwarder
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/delegator"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/placer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
+)
+
+const (
+	// handOverHeader marks a caller's request that another host has handed over.
+	handOverHeader = "X-Rhubarbpost-Gather"
+	// handOverDial is some hundred times the delay within a failure domain.
+	handOverDial = 60 * time.Millisecond
+	// handOverTries is how many gathering hosts are tried before the host fans out by itself.
+	handOverTries = 2
+	// handOverIdle is how many connections are kept to a gathering host.
+	handOverIdle = 4
+	// gathererSlots is how many queries a gathering host has in flight without delay.
+	gathererSlots = 8
+)
+
+// delegate hands queries over many shards to gathering hosts.
+type delegate struct {
+	log       *logger.Logger
+	metrics   *counters
+	transport *http.Transport
+
+	mu     sync.Mutex
+	placer *placer.Placer
+	hosts  []delegator.Host
+	plans  map[int]delegator.Plan
+}
+
+func newDelegate(cfg Config, metrics *counters) *delegate {
+	return &delegate{
+		log: cfg.Logger, metrics: metrics, plans: make(map[int]delegator.Plan),
+		placer: placer.New(cfg.Settings.scatterer().Placer),
+		transport: &http.Transport{
+			DialContext: Dialer(handOverDial), DisableCompression: true,
+			MaxIdleConnsPerHost: handOverIdle, IdleConnTimeout: idleTimeout,
+		},
+	}
+}
+
+// setHosts replaces the hosts known.
+func (d *delegate) setHosts(hosts []delegator.Host) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hosts = hosts
+	clear(d.plans)
+}
+
+// choose returns a gathering host for a query, or nil if this host fans out by itself.
+func (d *delegate) choose(self delegator.Host, connections int, tried []string, work time.Duration) *lister.Server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	plan, ok := d.plans[connections]
+	if !ok {
+		plan = delegator.New(self, d.hosts, connections)
+		d.plans[connections] = plan
+	}
+	if plan.Direct {
+		return nil
+	}
+	candidates := make([]*lister.Server, 0, len(plan.Gatherers))
+	for _, host := range plan.Gatherers {
+		candidates = append(candidates, &lister.Server{ID: host.Name, Address: host.Address, Domain: host.Domain, Slots: gathererSlots})
+	}
+	now := time.Now()
+	choice, ok := d.placer.Choose(now, candidates, tried, work)
+	if !ok || choice.Doubtful {
+		return nil
+	}
+	d.placer.Sent(now, choice.Server)
+	return choice.Server
+}
+
+func (d *delegate) ended(host string, sent time.Time, outcome placer.Outcome, work time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	d.placer.Ended(now, host, sent, placer.Result{Outcome: outcome, Latency: now.Sub(sent), Work: work})
+}
+
+func (d *delegate) close() {
+	d.transport.CloseIdleConnections()
+}
+
+// handOver lets a gathering host serve a query and reports whether it did; if
+// not, nothing has been written and this host serves it.
+func (f *Forwarder) handOver(w http.ResponseWriter, r *http.Request, a *arrival) bool {
+	connections := f.connections(a.route)
+	var tried []string
+	for range handOverTries {
+		host := f.delegate.choose(f.self(), connections, tried, a.route.Objective)
+		if host == nil {
+			return false
+		}
+		tried = append(tried, host.ID)
+		sent := time.Now()
+		answer, err := f.passTo(r, a, host)
+		outcome := placer.Answered
+		if err != nil {
+			outcome = placer.Failed
+		}
+		if r.Context().Err() != nil {
+			outcome = placer.Withdrawn
+		}
+		f.delegate.ended(host.ID, sent, outcome, a.route.Objective)
+		f.metrics.handedOver(err)
+		if err == nil && answer.Status != http.StatusNotFound {
+			writeAnswer(w, answer)
+			return true
+		}
+		if r.Context().Err() != nil {
+			return true
+		}
+		f.cfg.Logger.Info(logger.HandOverFailed, "request", a.call.ID, "gatherer", host.ID, "error", err,
+			"tookMillis", time.Since(sent).Milliseconds())
+	}
+	return false
+}
+
+// passTo sends the caller's request to a gathering host and reads the whole answer.
+func (f *Forwarder) passTo(r *http.Request, a *arrival, host *lister.Server) (*Answer, error) {
+	deadline := time.Now().Add(min(a.call.Left, a.route.Timeout))
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	out := a.outbound
+	out.header = out.header.Clone()
+	out.header.Set(handOverHeader, f.Settings().Name)
+	response, err := f.delegate.transport.RoundTrip(out.request(ctx, host))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, err
+	}
+	return &Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+}
+
+// connections returns the least number of connections that a shard of a route
+// takes from all hosts, 0 without a bound.
+func (f *Forwarder) connections(route *matcher.Route) int {
+	target, ok := route.Target.(*matcher.Sharded)
+	if !ok {
+		return 0
+	}
+	service, ok := f.table.Load().Service(target.Services[0])
+	if !ok {
+		return 0
+	}
+	return service.MaxConnections
+}
+
+func (f *Forwarder) self() delegator.Host {
+	s := f.Settings()
+	return delegator.Host{Name: s.Name, Domain: s.Domain, Address: s.Listen.Control, Capacity: s.Capacity}
+}
+
+// knownHosts returns the hosts that have an entry in the store.
+func (f *Forwarder) knownHosts() []delegator.Host {
+	var hosts []delegator.Host
+	for _, object := range f.objects.List(f.cfg.Layout.HostPrefix) {
+		if object.Deleted {
+			continue
+		}
+		var m member
+		err := json.Unmarshal(object.Value, &m)
+		if err != nil {
+			f.cfg.Logger.Warn(logger.EntryRejected, "key", object.Key, "revision", object.Version, "error", err)
+			continue
+		}
+		name := object.Key[len(f.cfg.Layout.HostPrefix):]
+		hosts = append(hosts, delegator.Host{Name: name, Domain: m.Domain, Address: m.Control, Capacity: m.Capacity})
+	}
+	return hosts
+}
+
+// serveControl serves queries that other hosts hand over, and the calls of peers.
+func (f *Forwarder) serveControl(calls http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(handOverHeader) == "" {
+			calls.ServeHTTP(w, r)
+			return
+		}
+		r.Header.Del(handOverHeader)
+		f.serve(w, r, false)
+	})
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -55,6 +55,7 @@
 	cfg       Config
 	metrics   *counters
 	client    *client
+	delegate  *delegate
 	engine    *engine
 	listeners []*listener.Listener
 	callers   *listener.Listener
@@ -81,6 +82,7 @@
 // New opens the listeners and follows the store.
 func New(cfg Config) (*Forwarder, error) {
 	f := &Forwarder{cfg: cfg, metrics: newCounters(), client: newClient(cfg.Dialect), objects: keeper.New()}
+	f.delegate = newDelegate(cfg, f.metrics)
 	f.settings.Store(&cfg.Settings)
 	f.store.Store(&openStore{cfg.OpenStore(cfg.Settings.Store), cfg.Settings.Store})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -113,7 +115,7 @@
 	for _, side := range []struct {
 		address *string
 		handler http.Handler
-	}{{&addresses.Readiness, mux}, {&addresses.Metrics, exported}, {&addresses.Control, calls}} {
+	}{{&addresses.Readiness, mux}, {&addresses.Metrics, exported}, {&addresses.Control, f.serveControl(calls)}} {
 		l, err := listener.New(listener.Config{Address: *side.address, Handler: side.handler})
 		if err != nil {
 			return err
@@ -141,6 +143,7 @@
 func (f *Forwarder) Reload(next Settings) {
 	held := f.Settings()
 	next.Name, next.Domain, next.Listen, next.Log = held.Name, held.Domain, held.Listen, held.Log
+	next.Capacity = held.Capacity
 	f.settings.Store(&next)
 	f.engine.push(extraChange{next.Extra})
 	old := f.store.Load()
@@ -219,5 +222,6 @@
 	f.engine.close()
 	f.checks.Wait()
 	f.client.close()
+	f.delegate.close()
 	f.store.Load().Close()
 }
--- a/internal/forwarder/members.go
+++ b/internal/forwarder/members.go
@@ -23,8 +23,9 @@
 
 // member is the entry of a host in the store.
 type member struct {
-	Domain  string `json:"domain"`
-	Control string `json:"control"`
+	Domain   string  `json:"domain"`
+	Control  string  `json:"control"`
+	Capacity float64 `json:"capacity"`
 }
 
 // joinAndCount writes the entry of this host, then counts the hosts until the context ends.
@@ -62,13 +63,14 @@
 		return 0, err
 	}
 	f.take(append(page.Objects, f.objects.Missing(f.cfg.Layout.HostPrefix, page)...), source{})
+	f.delegate.setHosts(f.knownHosts())
 	return len(page.Objects), nil
 }
 
 // join writes the entry of this host unless it is there as it should be.
 func (f *Forwarder) join(ctx context.Context) error {
 	key := f.cfg.Layout.HostPrefix + f.Settings().Name
-	value, err := json.Marshal(member{Domain: f.Settings().Domain, Control: f.Settings().Listen.Control})
+	value, err := json.Marshal(member{Domain: f.Settings().Domain, Control: f.Settings().Listen.Control, Capacity: f.Settings().Capacity})
 	if err != nil {
 		return err
 	}
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -18,7 +18,7 @@
 	answerMargin = 14 * time.Millisecond
 	// hedgeFraction is the part of the objective at which a late shard still
 	// leaves time for a second attempt.
-	hedgeFraction = 0.25
+	hedgeFraction = 0.33
 	// extraReserve is the part of the shared extra attempts that is planned
 	// with; the rest covers hosts that are not known yet.
 	extraReserve = 0.8
@@ -45,7 +45,9 @@
 	// Name and Domain name the host and its failure domain.
 	Name   string `json:"name"`
 	Domain string `json:"domain"`
-	Listen Listen `json:"listen"`
+	// Capacity is the host's share of a core.
+	Capacity float64 `json:"capacity"`
+	Listen   Listen  `json:"listen"`
 	// Seeds are control addresses of hosts that may be up.
 	Seeds []string `json:"seeds"`
 	// Store is the address of the platform's store.
@@ -98,6 +100,7 @@
 func (c *settingsChecker) check(s Settings) {
 	c.that(s.Name != "", "missing", "a name", "name")
 	c.that(s.Domain != "", "missing", "a name", "domain")
+	c.that(s.Capacity > 0, "not positive", "more than 0", "capacity")
 	c.address(s.Listen.Callers, "listen", "callers")
 	c.address(s.Listen.Readiness, "listen", "readiness")
 	c.address(s.Listen.Control, "listen", "control")
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -60,6 +60,7 @@
 	MemberFailed     Event = 533
 	PeerAsked        Event = 534
 	FitnessChanged   Event = 535
+	HandOverFailed   Event = 536
 	SettingsReloaded Event = 540
 	SettingsRejected Event = 541
 	LinesDropped     Event = 550
@@ -113,6 +114,7 @@
 	{MemberFailed, "memberFailed", "The entry of this host in the store could not be written or read."},
 	{PeerAsked, "peerAsked", "A peer was asked for the objects that this host lacks."},
 	{FitnessChanged, "fitnessChanged", "The host asks to be left out by the balancer, since it is cut off, or takes callers again."},
+	{HandOverFailed, "handOverFailed", "A gathering host did not serve a query; another one or this host does."},
 	{SettingsReloaded, "settingsReloaded", "The settings file has changed and is in force."},
 	{SettingsRejected, "settingsRejected", "The changed settings file is invalid; the settings before stay."},
 	{LinesDropped, "linesDropped", "Log lines were dropped to bound the volume."},
--- /dev/null
+++ b/pkg/coordination/delegator/delegator.go
@@ -0,0 +1,66 @@
+package delegator
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// directConnections is how many connections to each backend server a host
+	// needs for direct fan-out: one for each slot of today's servers.
+	directConnections = 2
+	// gatherConnections is how many a gathering host needs, which has the
+	// queries of several hosts in flight at once.
+	gatherConnections = 8
+)
+
+// Host is a host of the system.
+type Host struct {
+	Name   string
+	Domain string
+	// Address is where the host takes queries from other hosts.
+	Address string
+	// Capacity is its share of a core; hosts with more gather first.
+	Capacity float64
+}
+
+// Plan says how a host serves queries over many shards.
+type Plan struct {
+	// Direct means that the host fans out by itself.
+	Direct bool
+	// Gatherers are the hosts to hand queries to, of the own failure domain.
+	Gatherers []Host
+}
+
+// New returns the plan of a host among all hosts known, for backend servers
+// that take so many connections from all hosts together; 0 is no bound.
+func New(self Host, hosts []Host, connections int) Plan {
+	if connections == 0 || len(hosts)*directConnections <= connections {
+		return Plan{Direct: true}
+	}
+	domains := make(map[string]bool)
+	var own []Host
+	for _, host := range hosts {
+		domains[host.Domain] = true
+		if host.Domain == self.Domain {
+			own = append(own, host)
+		}
+	}
+	slices.SortFunc(own, func(a, b Host) int {
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(rank(a), rank(b)))
+	})
+	n := max(1, connections/gatherConnections/max(len(domains), 1))
+	gatherers := own[:min(n, len(own))]
+	if len(gatherers) == 0 || slices.ContainsFunc(gatherers, func(h Host) bool { return h.Name == self.Name }) {
+		return Plan{Direct: true}
+	}
+	return Plan{Gatherers: gatherers}
+}
+
+// rank orders hosts of equal capacity in a way that is the same on all hosts
+// and says nothing of their names.
+func rank(h Host) uint64 {
+	return xxhash.Sum64String(h.Name)
+}
