pkg/coordination/scatterer: refuse what is expected long after its objective

A repeatable request is now refused, before anything is sent, if the parts that it needs are expected later than 1.5 times the time left, counting only the requests in front; slowness is left to second attempts. The cost by which servers are compared stays apart from that.

--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -19,6 +19,9 @@
 	// hedgeFraction is the part of the objective at which a late shard still
 	// leaves time for a second attempt.
 	hedgeFraction = 0.33
+	// lateFactor leaves room for errors of the estimate, and for the usual work
+	// of a route, whose mean grows with its queues.
+	lateFactor = 1.5
 	// extraReserve is the part of the shared extra attempts that is planned
 	// with; the rest covers hosts that are not known yet.
 	extraReserve = 0.8
@@ -140,6 +143,7 @@
 		},
 		AnswerMargin:  answerMargin,
 		HedgeFraction: hedgeFraction,
+		LateFactor:    lateFactor,
 		ExtraRatio:    extraReserve * s.Extra.Ratio,
 		ExtraBurst:    extraReserve * s.Extra.Burst,
 		Hosts:         unknownHosts,
--- a/pkg/coordination/placer/placer.go
+++ b/pkg/coordination/placer/placer.go
@@ -8,6 +8,8 @@
 )
 
 const (
+	// usualSlots is the number of slots for which the cost of a queue is set.
+	usualSlots = 2
 	// smoothing is the weight of a new latency in the moving average.
 	smoothing = 0.3
 	// factorMax bounds how slow a server is taken to be.
@@ -145,10 +147,14 @@
 	}
 }
 
-// Choice is a server with the time in which an answer is expected.
+// Choice is a server with what is expected of it.
 type Choice struct {
-	Server   *lister.Server
+	Server *lister.Server
+	// Expected is the time to an answer by the requests in front alone.
 	Expected time.Duration
+	// cost orders choices: the time to an answer with all that speaks against a
+	// server, each weighed above its mean so that load spreads.
+	cost time.Duration
 	// Doubtful means that the server is suspended or seems cut off.
 	Doubtful bool
 }
@@ -166,6 +172,7 @@
 		choice := Choice{
 			Server:   candidate,
 			Expected: p.expect(now, candidate, held, work),
+			cost:     p.cost(now, candidate, held, work),
 			Doubtful: p.suspended(now, held) || p.cutOff(now, held),
 		}
 		if !found || choice.before(best) {
@@ -180,7 +187,7 @@
 	if c.Doubtful != other.Doubtful {
 		return !c.Doubtful
 	}
-	return c.Expected < other.Expected
+	return c.cost < other.cost
 }
 
 // Available reports whether a server other than those excluded may be chosen without doubt.
@@ -189,13 +196,22 @@
 	return ok && !choice.Doubtful
 }
 
-// expect returns the time in which the server is expected to answer.
+// expect returns the time to an answer by the requests in front.
 func (p *Placer) expect(now time.Time, s *lister.Server, held *server, work time.Duration) time.Duration {
+	return time.Duration(float64(work) * (1 + p.queue(now, held)/slots(s)))
+}
+
+func slots(s *lister.Server) float64 {
+	return float64(max(s.Slots, 1))
+}
+
+// cost returns the weighed time to an answer, by which servers are compared.
+func (p *Placer) cost(now time.Time, s *lister.Server, held *server, work time.Duration) time.Duration {
 	factor := held.factor
 	if now.Sub(held.observed) > p.cfg.Memory {
 		factor = 1
 	}
-	cost := float64(work) * factor * (1 + p.cfg.QueueCost*p.queue(now, s, held))
+	cost := float64(work) * factor * (1 + p.cfg.QueueCost*usualSlots*p.queue(now, held)/slots(s))
 	if now.Sub(held.failed) <= p.cfg.Memory {
 		cost += failureCost * held.failures * float64(work)
 	}
@@ -212,17 +228,15 @@
 	return time.Duration(cost)
 }
 
-// queue estimates the requests in front of a new one, in those of a server of two slots.
-func (p *Placer) queue(now time.Time, s *lister.Server, held *server) float64 {
+// queue estimates the requests in front of a new one.
+func (p *Placer) queue(now time.Time, held *server) float64 {
 	own := float64(len(held.sent))
-	slots := float64(max(s.Slots, 1))
 	age := now.Sub(held.reported)
 	if held.reported.IsZero() || age >= p.cfg.ReportLife {
-		return own * 2 / slots
+		return own
 	}
 	fresh := 1 - float64(age)/float64(p.cfg.ReportLife)
-	others := float64(held.load.Running+held.load.Waiting) * fresh
-	return max(own, others) * 2 / slots
+	return max(own, float64(held.load.Running+held.load.Waiting)*fresh)
 }
 
 func (p *Placer) suspended(now time.Time, held *server) bool {
--- /dev/null
+++ b/pkg/coordination/scatterer/load_test.go
@@ -0,0 +1,172 @@
+package scatterer
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/placer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
+)
+
+const (
+	loadShards  = "abcdefghij"
+	loadWork    = 15 * time.Millisecond
+	loadQueue   = 12
+	loadSlots   = 2
+	loadTime    = 4 * time.Second
+	loadSeed    = 7
+	loadReplica = 2
+)
+
+// simulation plays a machine against servers with slots and queues on virtual time.
+type simulation struct {
+	machine *Machine
+	random  *rand.Rand
+	now     time.Time
+	events  simulationHeap
+	servers map[string]*simulated
+	ends    map[uint64]bool
+	inTime  int
+	late    int
+	refused int
+	arrived map[uint64]time.Time
+}
+
+// simulated is a server: when each of its slots is free, and what waits.
+type simulated struct {
+	free    [loadSlots]time.Time
+	pending int
+}
+
+type simulationEvent struct {
+	at      time.Time
+	server  *simulated
+	attempt uint64
+	request uint64
+}
+
+type simulationHeap []simulationEvent
+
+func (h simulationHeap) Len() int           { return len(h) }
+func (h simulationHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h simulationHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *simulationHeap) Push(x any)        { *h = append(*h, x.(simulationEvent)) }
+func (h *simulationHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	*h = (*h)[:last]
+	return e
+}
+
+// simulate offers a load in parts of what all slots can carry and counts what callers get.
+func simulate(load, lateFactor float64) *simulation {
+	d := newDirectory(loadShards, loadReplica)
+	m := New(Config{
+		Placer:       placer.Config{Domain: "d", QueueCost: 2, ReportLife: 60 * time.Millisecond, Memory: 1500 * time.Millisecond},
+		AnswerMargin: margin, HedgeFraction: 0.33, ExtraRatio: 0.2, ExtraBurst: 50, Hosts: 1, LateFactor: lateFactor,
+	}, d)
+	s := &simulation{
+		machine: m, random: rand.New(rand.NewPCG(loadSeed, loadSeed)), now: start,
+		servers: make(map[string]*simulated), ends: make(map[uint64]bool), arrived: make(map[uint64]time.Time),
+	}
+	route := sharded(loadShards, 0.9)
+	between := float64(loadWork) / (loadReplica * loadSlots * load)
+	request := uint64(0)
+	for at := start; at.Before(start.Add(loadTime)); at = at.Add(time.Duration(s.random.ExpFloat64() * between)) {
+		request++
+		heap.Push(&s.events, simulationEvent{at: at, request: request})
+	}
+	for s.step(func(id uint64) []Action {
+		s.arrived[id] = s.now
+		return m.Step(s.now, &Arrived{Request: id, Route: route, Left: patience})
+	}) {
+	}
+	return s
+}
+
+// step plays what is due first and reports whether anything was.
+func (s *simulation) step(arrive func(id uint64) []Action) bool {
+	wake, sleeping := s.machine.Wake()
+	if len(s.events) == 0 && !sleeping {
+		return false
+	}
+	if sleeping && (len(s.events) == 0 || wake.Before(s.events[0].at)) {
+		s.now = wake
+		s.act(clone(s.machine.Step(s.now, &Woken{})))
+		return true
+	}
+	e := heap.Pop(&s.events).(simulationEvent)
+	s.now = e.at
+	if e.server == nil {
+		s.act(clone(arrive(e.request)))
+		return true
+	}
+	e.server.pending--
+	load := &placer.Load{Running: min(e.server.pending, loadSlots), Waiting: max(0, e.server.pending-loadSlots), Slots: loadSlots}
+	s.act(clone(s.machine.Step(s.now, &Ended{Attempt: e.attempt, Code: classifier.OK, Load: load})))
+	return true
+}
+
+func (s *simulation) act(actions []Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case *Send:
+			s.send(a)
+		case *Cancel:
+			if a.Await {
+				s.act(clone(s.machine.Step(s.now, &Ended{Attempt: a.Attempt, Code: classifier.Canceled})))
+			}
+		case *Complete:
+			if s.now.Sub(s.arrived[a.Request]) <= objective {
+				s.inTime++
+			} else {
+				s.late++
+			}
+		case *Refuse:
+			s.refused++
+		}
+	}
+}
+
+// send puts a request into the first free slot of a server, or sheds it.
+func (s *simulation) send(a *Send) {
+	server := s.servers[a.Server.ID]
+	if server == nil {
+		server = &simulated{}
+		s.servers[a.Server.ID] = server
+	}
+	if server.pending >= loadSlots+loadQueue {
+		s.act(clone(s.machine.Step(s.now, &Ended{Attempt: a.Attempt, Code: classifier.ServerShed})))
+		return
+	}
+	server.pending++
+	slot := 0
+	if server.free[1].Before(server.free[0]) {
+		slot = 1
+	}
+	begin := s.now
+	if server.free[slot].After(begin) {
+		begin = server.free[slot]
+	}
+	server.free[slot] = begin.Add(time.Duration((0.5 + s.random.ExpFloat64()/2) * float64(loadWork)))
+	heap.Push(&s.events, simulationEvent{at: server.free[slot], server: server, attempt: a.Attempt})
+}
+
+// TestRefusingEarlyServesMoreInTimeUnderOverload offers one and a half times
+// what the servers carry, as a burst does: with refusals by the expected end
+// more callers are answered in time than without. Below capacity it refuses
+// next to none.
+func TestRefusingEarlyServesMoreInTimeUnderOverload(t *testing.T) {
+	is := is.New(t)
+	with, without := simulate(1.5, 1.5), simulate(1.5, 0)
+	t.Logf("load 1.5: with refusals in time %d late %d refused %d, without %d %d %d",
+		with.inTime, with.late, with.refused, without.inTime, without.late, without.refused)
+	is.True(with.inTime > 2*without.inTime)
+	with, without = simulate(0.6, 1.5), simulate(0.6, 0)
+	t.Logf("load 0.6: with refusals in time %d late %d refused %d, without %d %d %d",
+		with.inTime, with.late, with.refused, without.inTime, without.late, without.refused)
+	is.True(with.inTime*100 >= without.inTime*99)
+}
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -1,6 +1,8 @@
 package scatterer
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/limiter"
@@ -186,6 +188,10 @@
 		m.refuse(now, f, classifier.NoServer)
 		return
 	}
+	if f.route.Repeatable && m.tooLate(now, f, choices) {
+		m.refuse(now, f, classifier.Overloaded)
+		return
+	}
 	for i := range f.parts {
 		if choices[i].Server == nil {
 			m.settle(f, &f.parts[i], classifier.NoServer)
@@ -201,6 +207,26 @@
 	return parts > 0 && float64(parts) >= f.coverage*float64(len(f.parts))-coverageSlack
 }
 
+// tooLate reports whether the parts that an answer needs are expected so long
+// after the objective that the request would only delay others.
+func (m *Machine) tooLate(now time.Time, f *flight, choices []placer.Choice) bool {
+	if m.cfg.LateFactor == 0 {
+		return false
+	}
+	expected := make([]time.Duration, 0, len(choices))
+	for _, choice := range choices {
+		if choice.Server != nil {
+			expected = append(expected, choice.Expected)
+		}
+	}
+	needed := int(math.Ceil(f.coverage*float64(len(choices)) - coverageSlack))
+	if needed == 0 || needed > len(expected) {
+		return false
+	}
+	slices.Sort(expected)
+	return expected[needed-1] > time.Duration(m.cfg.LateFactor*float64(f.answerBy.Sub(now)))
+}
+
 // mayTry reports whether a request that seems hopeless is sent all the same,
 // as one now and then must be to find that servers are back.
 func (m *Machine) mayTry(now time.Time, f *flight) bool {
--- a/pkg/coordination/scatterer/types.go
+++ b/pkg/coordination/scatterer/types.go
@@ -17,6 +17,9 @@
 	AnswerMargin time.Duration
 	// HedgeFraction is the part of the objective after which a sub-request is late.
 	HedgeFraction float64
+	// LateFactor refuses a repeatable request whose answer is expected later
+	// than so many times the time left to its objective; 0 refuses none.
+	LateFactor float64
 	// ExtraRatio and ExtraBurst are the second attempts that all hosts together
 	// may send to a service: a part of its requests, and a number on top.
 	ExtraRatio float64
