internal/forwarder: two hosts of a large failure domain follow the store for all

In failure domains of more than five hosts the two largest follow the store; the others ask one of them every 500 ms and take over by themselves when nobody has told of a store that answered within 3.5 s.

--- a/internal/comparer/comparer.go
+++ b/internal/comparer/comparer.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net/http"
+	"strconv"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/rhubarbpost/rhubarbpost/internal/protocol/exchanger"
@@ -47,21 +50,56 @@
 	return response
 }
 
-// Fetch asks a peer for what is newer than the objects held, and returns that
-// and the keys of which this side holds a newer version.
-func Fetch(ctx context.Context, client exchangerconnect.ControlClient, host string, k *keeper.Keeper) (newer []storer.Object, wanted []string, err error) {
+// ageHeader says how long ago the store confirmed what a host holds, in milliseconds.
+const ageHeader = "X-Store-Age-Ms"
+
+// SetAge states how long ago the store confirmed what the answering host holds.
+func SetAge(h http.Header, age time.Duration) {
+	h.Set(ageHeader, strconv.FormatInt(age.Milliseconds(), 10))
+}
+
+// Fetched is what a peer has told.
+type Fetched struct {
+	// Newer are the objects that are newer there, Wanted the keys of those that are newer here.
+	Newer  []storer.Object
+	Wanted []string
+	// Whole says that nothing is left out for the size of the message.
+	Whole bool
+	// Age is how long ago the store confirmed what the peer holds, if Known.
+	Age   time.Duration
+	Known bool
+}
+
+// Fetch asks a peer for what is newer than the objects held.
+func Fetch(ctx context.Context, client exchangerconnect.ControlClient, host string, k *keeper.Keeper) (Fetched, error) {
 	digest, count := k.Digest()
 	first, err := client.Compare(ctx, connect.NewRequest(&exchanger.CompareRequest{
 		Host: host, Digest: digest, Count: uint32(count),
 	}))
-	if err != nil || first.Msg.GetEqual() {
-		return nil, nil, err
+	if err != nil {
+		return Fetched{}, err
+	}
+	var fetched Fetched
+	millis, err := strconv.ParseInt(first.Header().Get(ageHeader), 10, 64)
+	if err == nil {
+		fetched.Age, fetched.Known = time.Duration(millis)*time.Millisecond, true
+	}
+	if first.Msg.GetEqual() {
+		fetched.Whole = true
+		return fetched, nil
 	}
 	second, err := client.Compare(ctx, connect.NewRequest(versionsFor(k, host, first.Msg.GetBucketDigests())))
 	if err != nil {
-		return nil, nil, err
+		return Fetched{}, err
+	}
+	fetched.Newer = exchanger.FromMessages(second.Msg.GetNewer())
+	fetched.Wanted = second.Msg.GetWanted()
+	size := 0
+	for _, object := range fetched.Newer {
+		size += len(object.Key) + len(object.Value)
 	}
-	return exchanger.FromMessages(second.Msg.GetNewer()), second.Msg.GetWanted(), nil
+	fetched.Whole = size < maxExchangeBytes/2
+	return fetched, nil
 }
 
 func versionsFor(k *keeper.Keeper, host string, digests []uint64) *exchanger.CompareRequest {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -208,13 +208,13 @@
 func (c *Controller) compare(peer string) {
 	ctx, cancel := context.WithTimeout(c.ctx, exchangeTimeout)
 	defer cancel()
-	newer, wanted, err := comparer.Fetch(ctx, c.clients[peer], c.cfg.Self.Name, c.keeper)
+	fetched, err := comparer.Fetch(ctx, c.clients[peer], c.cfg.Self.Name, c.keeper)
 	c.note(peer, err)
 	if err != nil {
 		return
 	}
-	c.accept(newer)
-	c.sendWanted(peer, wanted)
+	c.accept(fetched.Newer)
+	c.sendWanted(peer, fetched.Wanted)
 }
 
 func (c *Controller) sendWanted(peer string, wanted []string) {
--- a/internal/forwarder/follower.go
+++ b/internal/forwarder/follower.go
@@ -13,6 +13,10 @@
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/storer"
 )
 
+// followInterval is how often a host that others follow the store for looks
+// whether they still do.
+const followInterval = 200 * time.Millisecond
+
 // checkTimeout is many times the usual answer time of the store.
 const checkTimeout = 300 * time.Millisecond
 
@@ -21,6 +25,10 @@
 	m := watcher.New(watcher.DefaultConfig())
 	var next watcher.Event = &watcher.Woken{}
 	for ctx.Err() == nil {
+		if !f.follows() {
+			sleep(ctx, followInterval)
+			continue
+		}
 		for _, action := range m.Step(time.Now(), next) {
 			switch a := action.(type) {
 			case *watcher.List:
@@ -99,10 +107,14 @@
 // confirm notes that the store has just told the newest of a prefix.
 func (f *Forwarder) confirm(prefix string) {
 	if prefix == f.cfg.Layout.ConfigPrefix {
-		f.confirmed.Store(time.Now().UnixNano())
+		f.confirmAt(time.Now())
 	}
 }
 
+func (f *Forwarder) confirmAt(at time.Time) {
+	f.confirmed.Store(max(f.confirmed.Load(), at.UnixNano()))
+}
+
 // source says where objects come from.
 type source struct {
 	// whole means that the list of backend servers is complete.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"github.com/rhubarbpost/rhubarbpost/internal/protocol/exchanger/exchangerconnect"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/connector"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/watcher"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/keeper"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/storer"
@@ -67,6 +68,9 @@
 	store    atomic.Pointer[openStore]
 	// objects are the newest seen of the store, which peers may ask for.
 	objects *keeper.Keeper
+	// source says whether this host follows the store by itself.
+	sourceMu sync.Mutex
+	source   *watcher.Source
 	// lost counts the prefixes that the store doesn't answer for.
 	lost        atomic.Int64
 	checking    atomic.Bool
@@ -81,7 +85,7 @@
 
 // New opens the listeners and follows the store.
 func New(cfg Config) (*Forwarder, error) {
-	f := &Forwarder{cfg: cfg, metrics: newCounters(), client: newClient(cfg.Dialect), objects: keeper.New()}
+	f := &Forwarder{cfg: cfg, metrics: newCounters(), client: newClient(cfg.Dialect), objects: keeper.New(), source: watcher.NewSource(peerAge)}
 	f.delegate = newDelegate(cfg, f.metrics)
 	f.settings.Store(&cfg.Settings)
 	f.store.Store(&openStore{cfg.OpenStore(cfg.Settings.Store), cfg.Settings.Store})
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -18,8 +18,8 @@
 	// unconfiguredRetry is when a caller may come back to a host that has no configuration yet.
 	unconfiguredRetry = 300 * time.Millisecond
 	// staleAfter is the age of the last word of the store beyond which an
-	// unknown route may only be unknown here; well within the bound on configuration.
-	staleAfter = 2 * time.Second
+	// unknown route may only be unknown here; above what a watch and a round of peers take.
+	staleAfter = 3 * time.Second
 )
 
 // connectionHeaders concern one connection only and are not passed on.
--- a/internal/forwarder/members.go
+++ b/internal/forwarder/members.go
@@ -46,6 +46,11 @@
 			f.engine.push(hostCount{n})
 		}
 		sleep(ctx, memberInterval)
+		for ctx.Err() == nil && !f.follows() {
+			// The entries of hosts come with what the peers tell.
+			f.delegate.setHosts(f.knownHosts())
+			sleep(ctx, memberInterval)
+		}
 	}
 }
 
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -13,6 +13,7 @@
 	"github.com/rhubarbpost/rhubarbpost/internal/protocol/exchanger"
 	"github.com/rhubarbpost/rhubarbpost/internal/protocol/exchanger/exchangerconnect"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/connector"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/delegator"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/storer"
 )
 
@@ -20,6 +21,9 @@
 	// askInterval is how often a peer is asked while the store is away: a few
 	// times within the bound on configuration.
 	askInterval = 500 * time.Millisecond
+	// peerAge is the greatest age of what peers tell: a call of a watch that is
+	// held to its end and a round of questions.
+	peerAge = 3500 * time.Millisecond
 	// askTimeout leaves time for another peer within the same bound.
 	askTimeout = 400 * time.Millisecond
 )
@@ -33,10 +37,16 @@
 
 // Compare answers a digest, or the versions of the buckets that differ.
 func (c control) Compare(_ context.Context, r *connect.Request[exchanger.CompareRequest]) (*connect.Response[exchanger.CompareResponse], error) {
-	return connect.NewResponse(comparer.Answer(c.f.objects, r.Msg)), nil
+	response := connect.NewResponse(comparer.Answer(c.f.objects, r.Msg))
+	at := c.f.confirmedAt()
+	if c.f.lost.Load() == 0 && at.Unix() > 0 {
+		comparer.SetAge(response.Header(), time.Since(at))
+	}
+	return response, nil
 }
 
-// askPeers asks one peer after another for newer objects while the store is away.
+// askPeers asks one peer after another for newer objects: the hosts that follow
+// the store for this one, or any peer while the store is away.
 func (f *Forwarder) askPeers(ctx context.Context) {
 	client := connector.NewClient()
 	defer client.CloseIdleConnections()
@@ -45,29 +55,62 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if f.lost.Load() == 0 {
-			continue
+		peers := f.watchers()
+		if len(peers) == 0 && f.lost.Load() > 0 {
+			peers = f.peers()
 		}
-		peers := f.peers()
 		if len(peers) > 0 {
 			f.ask(ctx, client, peers[rand.IntN(len(peers))])
 		}
 	}
 }
 
+// watchers returns the control addresses of the hosts that follow the store for
+// this one, none if it does so by itself.
+func (f *Forwarder) watchers() []string {
+	s := f.Settings()
+	var addresses []string
+	for _, host := range delegator.Watchers(s.Domain, f.knownHosts()) {
+		if host.Name == s.Name {
+			addresses = nil
+			break
+		}
+		addresses = append(addresses, host.Address)
+	}
+	f.sourceMu.Lock()
+	f.source.SetPeers(len(addresses) > 0)
+	f.sourceMu.Unlock()
+	return addresses
+}
+
+// follows reports whether this host follows the store by itself.
+func (f *Forwarder) follows() bool {
+	f.sourceMu.Lock()
+	defer f.sourceMu.Unlock()
+	return f.lost.Load() > 0 || f.source.Own(time.Now())
+}
+
 func (f *Forwarder) ask(ctx context.Context, client *http.Client, address string) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	peer := exchangerconnect.NewControlClient(client, "http://"+address, connector.ClientOptions(nil))
-	newer, _, err := comparer.Fetch(ctx, peer, f.Settings().Name, f.objects)
-	if err != nil || len(newer) > 0 {
-		f.cfg.Logger.Info(logger.PeerAsked, "peer", address, "newer", len(newer), "error", err)
+	begun := time.Now()
+	fetched, err := comparer.Fetch(ctx, peer, f.Settings().Name, f.objects)
+	if err != nil || len(fetched.Newer) > 0 {
+		f.cfg.Logger.Info(logger.PeerAsked, "peer", address, "newer", len(fetched.Newer), "storeAgeMillis", fetched.Age.Milliseconds(), "error", err)
 	}
 	f.metrics.peerCall(err)
 	if err != nil {
 		return
 	}
-	f.take(newer, source{whole: f.holdsServers(newer), doubtful: true})
+	f.take(fetched.Newer, source{whole: f.holdsServers(fetched.Newer), doubtful: f.lost.Load() > 0})
+	if !fetched.Known || !fetched.Whole {
+		return
+	}
+	f.sourceMu.Lock()
+	f.source.Told(begun, fetched.Age)
+	f.sourceMu.Unlock()
+	f.confirmAt(begun.Add(-fetched.Age))
 }
 
 // holdsServers reports whether objects list a backend server.
--- a/pkg/coordination/delegator/delegator.go
+++ b/pkg/coordination/delegator/delegator.go
@@ -14,6 +14,12 @@
 	// gatherConnections is how many a gathering host needs, which has the
 	// queries of several hosts in flight at once.
 	gatherConnections = 8
+	// watchers is how many hosts of a failure domain follow the store, so that
+	// the loss of one leaves the other.
+	watchers = 2
+	// directWatchers is the number of hosts of a failure domain up to which all
+	// of them follow the store.
+	directWatchers = 5
 )
 
 // Host is a host of the system.
@@ -41,16 +47,10 @@
 		return Plan{Direct: true}
 	}
 	domains := make(map[string]bool)
-	var own []Host
 	for _, host := range hosts {
 		domains[host.Domain] = true
-		if host.Domain == self.Domain {
-			own = append(own, host)
-		}
 	}
-	slices.SortFunc(own, func(a, b Host) int {
-		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(rank(a), rank(b)))
-	})
+	own := ranked(self.Domain, hosts)
 	n := max(1, connections/gatherConnections/max(len(domains), 1))
 	gatherers := own[:min(n, len(own))]
 	if len(gatherers) == 0 || slices.ContainsFunc(gatherers, func(h Host) bool { return h.Name == self.Name }) {
@@ -59,6 +59,30 @@
 	return Plan{Gatherers: gatherers}
 }
 
+// Watchers returns the hosts of a failure domain that follow the store for the
+// others there; small failure domains have none, and each host follows by itself.
+func Watchers(domain string, hosts []Host) []Host {
+	own := ranked(domain, hosts)
+	if len(own) <= directWatchers {
+		return nil
+	}
+	return own[:watchers]
+}
+
+// ranked returns the hosts of a failure domain, those of the greatest capacity first.
+func ranked(domain string, hosts []Host) []Host {
+	var own []Host
+	for _, host := range hosts {
+		if host.Domain == domain {
+			own = append(own, host)
+		}
+	}
+	slices.SortFunc(own, func(a, b Host) int {
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(rank(a), rank(b)))
+	})
+	return own
+}
+
 // rank orders hosts of equal capacity in a way that is the same on all hosts
 // and says nothing of their names.
 func rank(h Host) uint64 {
--- a/pkg/coordination/delegator/delegator_test.go
+++ b/pkg/coordination/delegator/delegator_test.go
@@ -68,3 +68,13 @@
 	}
 	is.Equal(kept, len(before)-1)
 }
+
+func TestTwoHostsOfALargeDomainFollowTheStore(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(Watchers("a", site(directWatchers))), 0)
+	chosen := Watchers("a", site(27))
+	is.Equal(len(chosen), watchers)
+	for _, host := range chosen {
+		is.Equal(host.Domain, "a")
+	}
+}
--- /dev/null
+++ b/pkg/coordination/watcher/source_test.go
@@ -0,0 +1,28 @@
+package watcher
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestPeersAreEnoughWhileTheirStoreAnswers lets a peer lose the store, then answer no more.
+func TestPeersAreEnoughWhileTheirStoreAnswers(t *testing.T) {
+	is := is.New(t)
+	const limit = 2 * time.Second
+	s := NewSource(limit)
+	is.True(s.Own(start))
+	s.SetPeers(true)
+	is.True(s.Own(start)) // nobody has told anything yet
+	s.Told(start, 500*time.Millisecond)
+	is.True(!s.Own(start.Add(1500 * time.Millisecond)))
+	s.Told(start.Add(1500*time.Millisecond), 2*time.Second) // the peer has lost the store
+	is.True(s.Own(start.Add(1600 * time.Millisecond)))
+	s.Told(start.Add(1600*time.Millisecond), 0)
+	is.True(!s.Own(start.Add(3600 * time.Millisecond)))
+	is.True(s.Own(start.Add(3601 * time.Millisecond))) // no peer answers
+	s.Told(start.Add(4*time.Second), 0)
+	s.SetPeers(false)
+	is.True(s.Own(start.Add(4 * time.Second)))
+}
