--- a/pkg/coordination/placer/placer.go
+++ b/pkg/coordination/placer/placer.go
@@ -150,8 +150,8 @@
 // Choice is a server with what is expected of it.
 type Choice struct {
 	Server *lister.Server
-	// Expected is the time to an answer by the requests in front alone.
-	Expected time.Duration
+	// Ahead is the number of requests in front for each slot.
+	Ahead float64
 	// cost orders choices: the time to an answer with all that speaks against a
 	// server, each weighed above its mean so that load spreads.
 	cost time.Duration
@@ -171,7 +171,7 @@
 		}
 		choice := Choice{
 			Server:   candidate,
-			Expected: p.expect(now, candidate, held, work),
+			Ahead:    p.queue(now, held) / slots(candidate),
 			cost:     p.cost(now, candidate, held, work),
 			Doubtful: p.suspended(now, held) || p.cutOff(now, held),
 		}
@@ -196,11 +196,6 @@
 	return ok && !choice.Doubtful
 }
 
-// expect returns the time to an answer by the requests in front.
-func (p *Placer) expect(now time.Time, s *lister.Server, held *server, work time.Duration) time.Duration {
-	return time.Duration(float64(work) * (1 + p.queue(now, held)/slots(s)))
-}
-
 func slots(s *lister.Server) float64 {
 	return float64(max(s.Slots, 1))
 }
--- a/pkg/coordination/scatterer/load_test.go
+++ b/pkg/coordination/scatterer/load_test.go
@@ -19,6 +19,8 @@
 	loadTime    = 4 * time.Second
 	loadSeed    = 7
 	loadReplica = 2
+	// drainTime is some times what full queues take to drain.
+	drainTime = time.Second
 )
 
 // simulation plays a machine against servers with slots and queues on virtual time.
@@ -29,6 +31,7 @@
 	events  simulationHeap
 	servers map[string]*simulated
 	ends    map[uint64]bool
+	begin   time.Time
 	inTime  int
 	late    int
 	refused int
@@ -63,6 +66,12 @@
 
 // simulate offers a load in parts of what all slots can carry and counts what callers get.
 func simulate(load, lateFactor float64) *simulation {
+	return simulateAfter(0, 0, load, lateFactor)
+}
+
+// simulateAfter counts only what comes after a time of another load, once the
+// queues of that have drained.
+func simulateAfter(first time.Duration, firstLoad, load, lateFactor float64) *simulation {
 	d := newDirectory(loadShards, loadReplica)
 	m := New(Config{
 		Placer:       placer.Config{Domain: "d", QueueCost: 2, ReportLife: 60 * time.Millisecond, Memory: 1500 * time.Millisecond},
@@ -73,12 +82,22 @@
 		servers: make(map[string]*simulated), ends: make(map[uint64]bool), arrived: make(map[uint64]time.Time),
 	}
 	route := sharded(loadShards, 0.9)
-	between := float64(loadWork) / (loadReplica * loadSlots * load)
+	between := float64(loadWork) / (loadReplica * loadSlots)
 	request := uint64(0)
-	for at := start; at.Before(start.Add(loadTime)); at = at.Add(time.Duration(s.random.ExpFloat64() * between)) {
+	begin := start.Add(first)
+	if first > 0 {
+		begin = begin.Add(drainTime)
+	}
+	for at := start; at.Before(begin.Add(loadTime)); {
+		current := load
+		if at.Before(start.Add(first)) {
+			current = firstLoad
+		}
+		at = at.Add(time.Duration(s.random.ExpFloat64() * between / current))
 		request++
 		heap.Push(&s.events, simulationEvent{at: at, request: request})
 	}
+	s.begin = begin
 	for s.step(func(id uint64) []Action {
 		s.arrived[id] = s.now
 		return m.Step(s.now, &Arrived{Request: id, Route: route, Left: patience})
@@ -120,12 +139,18 @@
 				s.act(clone(s.machine.Step(s.now, &Ended{Attempt: a.Attempt, Code: classifier.Canceled})))
 			}
 		case *Complete:
+			if s.arrived[a.Request].Before(s.begin) {
+				continue
+			}
 			if s.now.Sub(s.arrived[a.Request]) <= objective {
 				s.inTime++
 			} else {
 				s.late++
 			}
 		case *Refuse:
+			if s.arrived[a.Request].Before(s.begin) {
+				continue
+			}
 			s.refused++
 		}
 	}
@@ -170,3 +195,14 @@
 		with.inTime, with.late, with.refused, without.inTime, without.late, without.refused)
 	is.True(with.inTime*100 >= without.inTime*99)
 }
+
+// TestRefusalsEndWithTheOverload lets half of what the servers carry follow two
+// seconds of eight times that, which fills all queues: once these have drained,
+// hardly any request is refused.
+func TestRefusalsEndWithTheOverload(t *testing.T) {
+	is := is.New(t)
+	s := simulateAfter(2*time.Second, 4, 0.5, 1.5)
+	t.Logf("after the overload in time %d late %d refused %d", s.inTime, s.late, s.refused)
+	is.True(s.refused*50 <= s.inTime)
+	is.True(s.late*20 <= s.inTime)
+}
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -20,6 +20,10 @@
 	workSmoothing = 0.05
 	// marginMax bounds the answer margin, as a part of the objective.
 	marginMax = 0.3
+	// baseQuantile is the quantile of latencies that stands for work without a
+	// queue, baseStep how far one latency moves it.
+	baseQuantile = 0.25
+	baseStep     = 0.1
 	// extraSends is how many attempts beyond those of the route a sub-request
 	// may have where servers refused without running it.
 	extraSends = 2
@@ -79,7 +83,10 @@
 
 // routeStats is what is known of the requests of one route.
 type routeStats struct {
+	// work is the mean latency of attempts, base a low quantile of it, which
+	// queues move little.
 	work    float64
+	base    float64
 	weights map[string]float64
 	// tried is when a request that seemed hopeless was last sent.
 	tried time.Time
@@ -188,7 +195,7 @@
 		m.refuse(now, f, classifier.NoServer)
 		return
 	}
-	if f.route.Repeatable && m.tooLate(now, f, choices) {
+	if f.route.Repeatable && m.tooLate(now, f, choices) && !m.mayTry(now, f) {
 		m.refuse(now, f, classifier.Overloaded)
 		return
 	}
@@ -208,7 +215,8 @@
 }
 
 // tooLate reports whether the parts that an answer needs are expected so long
-// after the objective that the request would only delay others.
+// after the objective that the request would only delay others. One request now
+// and then is sent all the same, so that the estimate can recover.
 func (m *Machine) tooLate(now time.Time, f *flight, choices []placer.Choice) bool {
 	if m.cfg.LateFactor == 0 {
 		return false
@@ -216,7 +224,7 @@
 	expected := make([]time.Duration, 0, len(choices))
 	for _, choice := range choices {
 		if choice.Server != nil {
-			expected = append(expected, choice.Expected)
+			expected = append(expected, f.stats.expect(choice))
 		}
 	}
 	needed := int(math.Ceil(f.coverage*float64(len(choices)) - coverageSlack))
@@ -269,12 +277,27 @@
 	key := routeKey{route.Host, route.Prefix}
 	stats := m.routes[key]
 	if stats == nil {
-		stats = &routeStats{work: float64(route.Objective) / workShare, weights: make(map[string]float64)}
+		stats = &routeStats{work: float64(route.Objective) / workShare, base: float64(route.Objective) / workShare, weights: make(map[string]float64)}
 		m.routes[key] = stats
 	}
 	return stats
 }
 
+// observe moves the mean and the low quantile by one latency.
+func (s *routeStats) observe(latency time.Duration) {
+	s.work += workSmoothing * (float64(latency) - s.work)
+	if float64(latency) > s.base {
+		s.base *= 1 + baseStep*baseQuantile
+	} else {
+		s.base *= 1 - baseStep*(1-baseQuantile)
+	}
+}
+
+// expect returns the time to an answer behind the requests in front.
+func (s *routeStats) expect(choice placer.Choice) time.Duration {
+	return time.Duration(s.base * (1 + choice.Ahead))
+}
+
 // next chooses a service by smooth weighted round robin, which keeps to the
 // weights over any few requests.
 func (s *routeStats) next(target *matcher.Weighted) string {
@@ -309,7 +332,7 @@
 	m.placer.Sent(now, choice.Server)
 	m.out = append(m.out, &Send{
 		Request: f.id, Attempt: a.id, Part: i, Server: choice.Server, Reason: reason,
-		Expected: choice.Expected, Deadline: f.deadline,
+		Expected: f.stats.expect(choice), Deadline: f.deadline,
 	})
 }
 
@@ -331,7 +354,7 @@
 	case p.settled:
 		return
 	case e.Code == classifier.OK:
-		f.stats.work += workSmoothing * (float64(now.Sub(a.sent)) - f.stats.work)
+		f.stats.observe(now.Sub(a.sent))
 		m.answer(now, f, p, a.id)
 	default:
 		m.failed(now, f, a, e)
@@ -492,7 +515,7 @@
 			continue
 		}
 		choice, ok := m.choose(now, f, p)
-		if !ok || choice.Doubtful || !now.Add(choice.Expected).Before(f.deadline) {
+		if !ok || choice.Doubtful || !now.Add(f.stats.expect(choice)).Before(f.deadline) {
 			continue
 		}
 		if m.budget(p.service).Spend() {
@@ -603,7 +626,7 @@
 		if !ok || choice.Doubtful {
 			return noServerRetry
 		}
-		longest = max(longest, choice.Expected)
+		longest = max(longest, f.stats.expect(choice))
 	}
 	return min(longest, noServerRetry)
 }
