--- a/pkg/coordination/scatterer/load_test.go
+++ b/pkg/coordination/scatterer/load_test.go
@@ -19,6 +19,8 @@
 	loadTime    = 4 * time.Second
 	loadSeed    = 7
 	loadReplica = 2
+	// slowFactor is how much longer work takes before the counted time.
+	slowFactor = 12
 	// drainTime is some times what full queues take to drain.
 	drainTime = time.Second
 )
@@ -32,6 +34,7 @@
 	servers map[string]*simulated
 	ends    map[uint64]bool
 	begin   time.Time
+	slow    time.Time
 	inTime  int
 	late    int
 	refused int
@@ -69,8 +72,8 @@
 	return simulateAfter(0, 0, load, lateFactor)
 }
 
-// simulateAfter counts only what comes after a time of another load, once the
-// queues of that have drained.
+// simulateAfter counts only what comes after a time of another load at slow
+// servers, once the queues of that have drained.
 func simulateAfter(first time.Duration, firstLoad, load, lateFactor float64) *simulation {
 	d := newDirectory(loadShards, loadReplica)
 	m := New(Config{
@@ -97,7 +100,7 @@
 		request++
 		heap.Push(&s.events, simulationEvent{at: at, request: request})
 	}
-	s.begin = begin
+	s.begin, s.slow = begin, start.Add(first)
 	for s.step(func(id uint64) []Action {
 		s.arrived[id] = s.now
 		return m.Step(s.now, &Arrived{Request: id, Route: route, Left: patience})
@@ -176,7 +179,11 @@
 	if server.free[slot].After(begin) {
 		begin = server.free[slot]
 	}
-	server.free[slot] = begin.Add(time.Duration((0.5 + s.random.ExpFloat64()/2) * float64(loadWork)))
+	work := (0.5 + s.random.ExpFloat64()/2) * float64(loadWork)
+	if s.now.Before(s.slow) {
+		work *= slowFactor
+	}
+	server.free[slot] = begin.Add(time.Duration(work))
 	heap.Push(&s.events, simulationEvent{at: server.free[slot], server: server, attempt: a.Attempt})
 }
 
@@ -197,11 +204,11 @@
 }
 
 // TestRefusalsEndWithTheOverload lets half of what the servers carry follow two
-// seconds of eight times that, which fills all queues: once these have drained,
+// seconds of slow servers, which fill all queues: once these have drained,
 // hardly any request is refused.
 func TestRefusalsEndWithTheOverload(t *testing.T) {
 	is := is.New(t)
-	s := simulateAfter(2*time.Second, 4, 0.5, 1.5)
+	s := simulateAfter(2*time.Second, 0.5, 0.5, 1.5)
 	t.Logf("after the overload in time %d late %d refused %d", s.inTime, s.late, s.refused)
 	is.True(s.refused*50 <= s.inTime)
 	is.True(s.late*20 <= s.inTime)
