--- a/pkg/coordination/placer/placer.go
+++ b/pkg/coordination/placer/placer.go
@@ -150,6 +150,8 @@
 // Choice is a server with what is expected of it.
 type Choice struct {
 	Server *lister.Server
+	// Slowness is how many times longer than usual the server takes.
+	Slowness float64
 	// Ahead is the number of requests in front for each slot.
 	Ahead float64
 	// cost orders choices: the time to an answer with all that speaks against a
@@ -171,6 +173,7 @@
 		}
 		choice := Choice{
 			Server:   candidate,
+			Slowness: max(p.factor(now, held), 1),
 			Ahead:    p.queue(now, held) / slots(candidate),
 			cost:     p.cost(now, candidate, held, work),
 			Doubtful: p.suspended(now, held) || p.cutOff(now, held),
@@ -200,12 +203,18 @@
 	return float64(max(s.Slots, 1))
 }
 
-// cost returns the weighed time to an answer, by which servers are compared.
-func (p *Placer) cost(now time.Time, s *lister.Server, held *server, work time.Duration) time.Duration {
-	factor := held.factor
+// factor returns how many times longer than usual a server takes, by what was
+// seen of it lately.
+func (p *Placer) factor(now time.Time, held *server) float64 {
 	if now.Sub(held.observed) > p.cfg.Memory {
-		factor = 1
+		return 1
 	}
+	return held.factor
+}
+
+// cost returns the weighed time to an answer, by which servers are compared.
+func (p *Placer) cost(now time.Time, s *lister.Server, held *server, work time.Duration) time.Duration {
+	factor := p.factor(now, held)
 	cost := float64(work) * factor * (1 + p.cfg.QueueCost*usualSlots*p.queue(now, held)/slots(s))
 	if now.Sub(held.failed) <= p.cfg.Memory {
 		cost += failureCost * held.failures * float64(work)
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -295,7 +295,7 @@
 
 // expect returns the time to an answer behind the requests in front.
 func (s *routeStats) expect(choice placer.Choice) time.Duration {
-	return time.Duration(s.base * (1 + choice.Ahead))
+	return time.Duration(s.base * max(choice.Slowness, 1+choice.Ahead))
 }
 
 // next chooses a service by smooth weighted round robin, which keeps to the
