--- a/internal/lab/standin/store.go
+++ b/internal/lab/standin/store.go
@@ -37,7 +37,9 @@
 	events   []storeEvent
 	changed  chan struct{}
 	faults   StoreFaults
-	calls    map[string]int
+	// healed is closed when the faults change.
+	healed chan struct{}
+	calls  map[string]int
 }
 
 type storeMeta struct {
@@ -59,7 +61,7 @@
 
 // NewStore starts an empty store on loopback.
 func NewStore() *Store {
-	s := &Store{PageItems: defaultPageItems, kinds: make(map[string]map[string]*storeObject), changed: make(chan struct{}), calls: make(map[string]int)}
+	s := &Store{PageItems: defaultPageItems, kinds: make(map[string]map[string]*storeObject), changed: make(chan struct{}), healed: make(chan struct{}), calls: make(map[string]int)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/objects/{kind}", s.serveKind)
 	mux.HandleFunc("GET /-/objects/{kind}/{name}", s.serveGet)
@@ -75,6 +77,7 @@
 
 // Close ends all calls.
 func (s *Store) Close() {
+	s.SetFaults(StoreFaults{})
 	s.server.CloseClientConnections()
 	s.server.Close()
 }
@@ -83,6 +86,8 @@
 func (s *Store) SetFaults(faults StoreFaults) {
 	s.mu.Lock()
 	s.faults = faults
+	close(s.healed)
+	s.healed = make(chan struct{})
 	s.mu.Unlock()
 	s.server.CloseClientConnections()
 }
@@ -142,12 +147,17 @@
 func (s *Store) withFaults(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		faults := s.faults
+		faults, healed := s.faults, s.healed
 		s.calls[r.Method]++
 		s.mu.Unlock()
 		switch {
 		case faults.Silent:
-			<-r.Context().Done()
+			// The end of a connection is not seen before a body is read.
+			select {
+			case <-r.Context().Done():
+			case <-healed:
+			}
+			panic(http.ErrAbortHandler)
 		case faults.Status != 0:
 			w.WriteHeader(faults.Status)
 		case faults.LoseWrites && r.Method != http.MethodGet:
