--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -118,7 +118,7 @@
 		f.delegate.ended(host.ID, sent, outcome, a.route.Objective)
 		f.metrics.handedOver(err)
 		if err == nil && answer.Status != http.StatusNotFound {
-			writeAnswer(w, answer)
+			writeAnswer(w, r.Method, answer)
 			return true
 		}
 		if r.Context().Err() != nil {
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -196,10 +196,14 @@
 	s.cancel()
 	delete(e.sendings, item.attempt)
 	a := item.answer
-	e.answers[s.request][item.attempt] = a
 	e.metrics.attempt(a.Code)
+	r := e.requests[s.request]
+	if r == nil {
+		return
+	}
+	e.answers[s.request][item.attempt] = a
 	if a.Code != classifier.OK {
-		e.log.Info(logger.AttemptFailed, "request", e.requests[s.request].call.ID, "server", s.server.ID,
+		e.log.Info(logger.AttemptFailed, "request", r.call.ID, "server", s.server.ID,
 			"domain", s.server.Domain, "result", a.Code, "status", a.Status, "error", a.Err)
 	}
 	e.act(e.machine.Step(now, &scatterer.Ended{Attempt: item.attempt, Code: a.Code, Final: a.Final, Load: a.Load}))
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -155,11 +155,11 @@
 		f.writeMerged(w, sharded, end.answers)
 		return
 	}
-	writeAnswer(w, end.answers[0])
+	writeAnswer(w, a.outbound.method, end.answers[0])
 }
 
 // writeAnswer passes the answer of one server on as it is.
-func writeAnswer(w http.ResponseWriter, a *Answer) {
+func writeAnswer(w http.ResponseWriter, method string, a *Answer) {
 	h := w.Header()
 	removeConnectionHeaders(a.Header)
 	for name, values := range a.Header {
@@ -169,7 +169,10 @@
 	if !ok {
 		h["Content-Type"] = nil
 	}
-	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	if method != http.MethodHead {
+		// An answer to HEAD states the length of a body that it doesn't have.
+		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	}
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body)
 }
--- a/pkg/coordination/placer/placer.go
+++ b/pkg/coordination/placer/placer.go
@@ -193,12 +193,6 @@
 	return c.cost < other.cost
 }
 
-// Available reports whether a server other than those excluded may be chosen without doubt.
-func (p *Placer) Available(now time.Time, candidates []*lister.Server, excluded []string) bool {
-	choice, ok := p.Choose(now, candidates, excluded, time.Millisecond)
-	return ok && !choice.Doubtful
-}
-
 func slots(s *lister.Server) float64 {
 	return float64(max(s.Slots, 1))
 }
@@ -338,12 +332,3 @@
 		s.suspended = now.Add(s.pause)
 	}
 }
-
-// InFlight returns the number of attempts at a server that have not ended.
-func (p *Placer) InFlight(id string) int {
-	held := p.servers[id]
-	if held == nil {
-		return 0
-	}
-	return len(held.sent)
-}
