--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -338,6 +338,7 @@
 	for _, id := range e.servers.Apply(now, item.entries) {
 		if e.servers.Held(id) {
 			e.log.Debug(logger.ServerListed, "server", id)
+			e.machine.Relisted(id)
 			continue
 		}
 		gone = append(gone, id)
--- a/pkg/coordination/placer/placer.go
+++ b/pkg/coordination/placer/placer.go
@@ -147,6 +147,18 @@
 	}
 }
 
+// Relisted notes that the list says something new of a server, which may have
+// started again elsewhere: what spoke against it counts no more.
+func (p *Placer) Relisted(id string) {
+	held := p.servers[id]
+	if held == nil {
+		return
+	}
+	held.misplaced = false
+	held.inARow = 0
+	held.pause = 0
+}
+
 // Choice is a server with what is expected of it.
 type Choice struct {
 	Server *lister.Server
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -147,6 +147,11 @@
 	m.placer.Forget(id)
 }
 
+// Relisted notes that the list says something new of a server.
+func (m *Machine) Relisted(id string) {
+	m.placer.Relisted(id)
+}
+
 // Len returns the number of requests in flight.
 func (m *Machine) Len() int {
 	return len(m.flights)
