internal/comparer: the oldest objects first, so that a large one is not held back

Ruled out: a store that was away (its age was 0.2 to 2 s in each answer) and slow calls (none failed).

--- a/internal/comparer/comparer.go
+++ b/internal/comparer/comparer.go
@@ -1,8 +1,10 @@
 package comparer
 
 import (
+	"cmp"
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -16,7 +18,8 @@
 // maxExchangeBytes bounds a message, save for a single object that is larger.
 const maxExchangeBytes = 256 << 10
 
-// Answer answers a digest, or the versions of the buckets that differ.
+// Answer answers a digest, or the versions of the buckets that differ; then equal
+// says that both sides are once the newer objects are taken.
 func Answer(k *keeper.Keeper, request *exchanger.CompareRequest) *exchanger.CompareResponse {
 	if len(request.GetBuckets()) > 0 {
 		return answerVersions(k, request)
@@ -45,8 +48,13 @@
 			response.Wanted = append(response.Wanted, key)
 		}
 	}
-	// What does not fit is left for the next comparison.
-	response.Newer = exchanger.ToMessages(Batches(k.Newer(buckets, theirs))[0])
+	// What does not fit is left for the next comparison. The oldest objects go
+	// first, so that changes that keep coming don't hold back a large one.
+	newer := k.Newer(buckets, theirs)
+	slices.SortFunc(newer, func(a, b storer.Object) int { return cmp.Compare(a.Version, b.Version) })
+	batches := Batches(newer)
+	response.Newer = exchanger.ToMessages(batches[0])
+	response.Equal = len(batches) == 1
 	return response
 }
 
@@ -94,11 +102,7 @@
 	}
 	fetched.Newer = exchanger.FromMessages(second.Msg.GetNewer())
 	fetched.Wanted = second.Msg.GetWanted()
-	size := 0
-	for _, object := range fetched.Newer {
-		size += len(object.Key) + len(object.Value)
-	}
-	fetched.Whole = size < maxExchangeBytes/2
+	fetched.Whole = second.Msg.GetEqual()
 	return fetched, nil
 }
 
