internal/forwarder: take the hosts from the objects held, in one place; drop dead code

A host that others follow the store for kept the count of its last own list, so its part of the shared extra attempts could stay too large. Hosts, plans and count now change where their entries arrive, whichever way.

Also, without a change of behaviour: two fields of delegate that nothing read, a prefix comparison written by hand, and a wrapper of one line in scatterer.

--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -30,8 +30,6 @@
 
 // delegate hands queries over many shards to gathering hosts.
 type delegate struct {
-	log       *logger.Logger
-	metrics   *counters
 	transport *http.Transport
 
 	mu     sync.Mutex
@@ -40,9 +38,9 @@
 	plans  map[int]delegator.Plan
 }
 
-func newDelegate(cfg Config, metrics *counters) *delegate {
+func newDelegate(cfg Config) *delegate {
 	return &delegate{
-		log: cfg.Logger, metrics: metrics, plans: make(map[int]delegator.Plan),
+		plans:  make(map[int]delegator.Plan),
 		placer: placer.New(cfg.Settings.scatterer().Placer),
 		transport: &http.Transport{
 			DialContext: Dialer(handOverDial), DisableCompression: true,
@@ -51,12 +49,14 @@
 	}
 }
 
-// setHosts replaces the hosts known.
-func (d *delegate) setHosts(hosts []delegator.Host) {
+// setHosts replaces the hosts known and returns how many there were before.
+func (d *delegate) setHosts(hosts []delegator.Host) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	before := len(d.hosts)
 	d.hosts = hosts
 	clear(d.plans)
+	return before
 }
 
 // choose returns a gathering host for a query, or nil if this host fans out by itself.
--- a/internal/forwarder/follower.go
+++ b/internal/forwarder/follower.go
@@ -126,14 +126,20 @@
 // take keeps what is newer than the objects held and puts it in force.
 func (f *Forwarder) take(objects []storer.Object, from source) {
 	var entries []lister.Entry
+	hosts := false
 	for _, object := range f.objects.Merge(objects) {
 		switch {
 		case object.Key == f.cfg.Layout.ConfigKey:
 			f.adopt(object)
 		case strings.HasPrefix(object.Key, f.cfg.Layout.ServerPrefix):
 			entries = append(entries, f.entry(object))
+		case strings.HasPrefix(object.Key, f.cfg.Layout.HostPrefix):
+			hosts = true
 		}
 	}
+	if hosts {
+		f.hostsChanged()
+	}
 	if from.whole || len(entries) > 0 {
 		f.engine.push(&listing{entries: entries, source: from})
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -86,7 +86,7 @@
 // New opens the listeners and follows the store.
 func New(cfg Config) (*Forwarder, error) {
 	f := &Forwarder{cfg: cfg, metrics: newCounters(), client: newClient(cfg.Dialect), objects: keeper.New(), source: watcher.NewSource(peerAge)}
-	f.delegate = newDelegate(cfg, f.metrics)
+	f.delegate = newDelegate(cfg)
 	f.settings.Store(&cfg.Settings)
 	f.store.Store(&openStore{cfg.OpenStore(cfg.Settings.Store), cfg.Settings.Store})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -100,7 +100,7 @@
 	f.workers.Go(func() { f.follow(ctx, cfg.Layout.ConfigPrefix) })
 	f.workers.Go(func() { f.follow(ctx, cfg.Layout.ServerPrefix) })
 	f.workers.Go(func() { f.askPeers(ctx) })
-	f.workers.Go(func() { f.joinAndCount(ctx) })
+	f.workers.Go(func() { f.joinAndList(ctx) })
 	return f, nil
 }
 
--- a/internal/forwarder/members.go
+++ b/internal/forwarder/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
@@ -11,7 +12,7 @@
 )
 
 const (
-	// memberInterval is how often the hosts are counted.
+	// memberInterval is how often the hosts are listed.
 	memberInterval = 10 * time.Second
 	// memberRetry is the delay after a failed call.
 	memberRetry = 500 * time.Millisecond
@@ -28,48 +29,49 @@
 	Capacity float64 `json:"capacity"`
 }
 
-// joinAndCount writes the entry of this host, then counts the hosts until the context ends.
-func (f *Forwarder) joinAndCount(ctx context.Context) {
-	known := 0
+// joinAndList writes the entry of this host, then lists the hosts now and then
+// until the context ends; where others follow the store, the entries come with
+// what they tell.
+func (f *Forwarder) joinAndList(ctx context.Context) {
 	joined := false
 	for ctx.Err() == nil {
-		n, err := f.countHosts(ctx, &joined)
+		err := f.listHosts(ctx, &joined)
 		if err != nil {
 			f.cfg.Logger.Warn(logger.MemberFailed, "joined", joined, "error", err)
 			sleep(ctx, memberRetry)
 			continue
 		}
-		if n != known {
-			f.cfg.Logger.Info(logger.HostsChanged, "hosts", n, "before", known)
-			known = n
-			f.metrics.hosts.Set(float64(n))
-			f.engine.push(hostCount{n})
-		}
 		sleep(ctx, memberInterval)
 		for ctx.Err() == nil && !f.follows() {
-			// The entries of hosts come with what the peers tell.
-			f.delegate.setHosts(f.knownHosts())
 			sleep(ctx, memberInterval)
 		}
 	}
 }
 
-func (f *Forwarder) countHosts(ctx context.Context, joined *bool) (int, error) {
+func (f *Forwarder) listHosts(ctx context.Context, joined *bool) error {
 	if !*joined {
 		err := f.join(ctx)
 		if err != nil {
-			return 0, err
+			return err
 		}
 		*joined = true
 	}
 	page, err := f.store.Load().List(ctx, f.cfg.Layout.HostPrefix)
 	f.metrics.storeCall("list", err)
 	if err != nil {
-		return 0, err
+		return err
 	}
-	f.take(append(page.Objects, f.objects.Missing(f.cfg.Layout.HostPrefix, page)...), source{})
-	f.delegate.setHosts(f.knownHosts())
-	return len(page.Objects), nil
+	f.take(slices.Concat(page.Objects, f.objects.Missing(f.cfg.Layout.HostPrefix, page)), source{})
+	return nil
+}
+
+// hostsChanged puts the hosts in force that have an entry.
+func (f *Forwarder) hostsChanged() {
+	hosts := f.knownHosts()
+	before := f.delegate.setHosts(hosts)
+	f.metrics.hosts.Set(float64(len(hosts)))
+	f.engine.push(hostCount{len(hosts)})
+	f.cfg.Logger.Info(logger.HostsChanged, "hosts", len(hosts), "before", before)
 }
 
 // join writes the entry of this host unless it is there as it should be.
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -115,12 +117,9 @@
 
 // holdsServers reports whether objects list a backend server.
 func (f *Forwarder) holdsServers(objects []storer.Object) bool {
-	for _, object := range objects {
-		if len(object.Key) > len(f.cfg.Layout.ServerPrefix) && object.Key[:len(f.cfg.Layout.ServerPrefix)] == f.cfg.Layout.ServerPrefix {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(objects, func(object storer.Object) bool {
+		return strings.HasPrefix(object.Key, f.cfg.Layout.ServerPrefix)
+	})
 }
 
 // peers returns the control addresses of the other hosts known.
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -482,7 +482,7 @@
 	case enough && !now.Before(f.answerBy):
 		m.complete(now, f, true)
 	case !now.Before(f.deadline):
-		m.expire(now, f)
+		m.refuse(now, f, classifier.DeadlineExceeded)
 	default:
 		m.arm(now, f)
 	}
@@ -581,11 +581,6 @@
 	m.refuse(now, f, code)
 }
 
-// expire ends a request whose time is over.
-func (m *Machine) expire(now time.Time, f *flight) {
-	m.refuse(now, f, classifier.DeadlineExceeded)
-}
-
 // refuse ends a request with a code that holds for the whole of it: "not run"
 // is said only if no attempt may have run. What is still open is cancelled
 // first, and what comes of that decides.
