platform/adapter: one store client for all processes; lab serves the platform's protocol

Cause: entry, agent, console and the config commands used a client of their own (internal/state/platformer) for an interface that only the lab's stand-in had, so there were two store clients and two stand-ins of the store. Ruled out: keeping the product's interface for the lab (no one else serves it).

--- a/cmd/lab/cmds/cmds.go
+++ b/cmd/lab/cmds/cmds.go
@@ -14,11 +14,10 @@
 	"github.com/rhubarbpost/rhubarbpost/internal/exiter"
 	"github.com/rhubarbpost/rhubarbpost/internal/lab/generator"
 	"github.com/rhubarbpost/rhubarbpost/internal/lab/layouter"
-	"github.com/rhubarbpost/rhubarbpost/internal/lab/provider"
 	"github.com/rhubarbpost/rhubarbpost/internal/lab/searcher"
-	"github.com/rhubarbpost/rhubarbpost/internal/state/platformer"
-	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
+	"github.com/rhubarbpost/rhubarbpost/internal/lab/standin"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/decoder"
+	"github.com/rhubarbpost/rhubarbpost/platform/adapter"
 )
 
 const (
@@ -70,20 +69,21 @@
 }
 
 func platformCommand() command {
-	sub := newCommand("platform", "Serve the object API in memory.", "platform --listen 127.0.0.1:7000")
+	sub := newCommand("platform", "Serve the platform's store in memory.", "platform --listen 127.0.0.1:7000")
 	address := "127.0.0.1:7000"
 	sub.String(&address, "l", "listen", "Address, IP:port")
 	return command{sub: sub, run: func() error { return runPlatform(address) }}
 }
 
 func runPlatform(address string) error {
-	l, err := listener.New(listener.Config{Address: address, Handler: provider.Handler(provider.NewStore()), Streams: true})
+	store, err := standin.ListenStore(address)
 	if err != nil {
 		return err
 	}
 	ctx, _ := exiter.Signals()
 	<-ctx.Done()
-	return l.Close()
+	store.Close()
+	return nil
 }
 
 func searcherCommand() command {
@@ -107,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	store := platformer.New(settings.Platform)
+	store := adapter.OpenStore(settings.Platform)
 	defer store.Close()
 	ctx, _ := exiter.Signals()
 	joinCtx, cancel := context.WithTimeout(ctx, joinLimit)
@@ -158,7 +158,7 @@
 }
 
 func runLoad(cfg generator.Config, out io.Writer) error {
-	store := platformer.New(cfg.Platform)
+	store := adapter.OpenStore(cfg.Platform)
 	defer store.Close()
 	ctx, _ := exiter.Signals()
 	summary, err := generator.Run(ctx, cfg, store)
--- a/cmd/rhubarbpost/cmds/config.go
+++ b/cmd/rhubarbpost/cmds/config.go
@@ -16,10 +16,10 @@
 	"github.com/integrii/flaggy"
 	"github.com/rhubarbpost/rhubarbpost/internal/applier"
 	"github.com/rhubarbpost/rhubarbpost/internal/exiter"
-	"github.com/rhubarbpost/rhubarbpost/internal/state/platformer"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/configurer"
+	"github.com/rhubarbpost/rhubarbpost/platform/adapter"
 )
 
 const (
@@ -121,7 +121,7 @@
 	if err != nil {
 		return &exitError{code: exiter.Usage, cause: fmt.Errorf("--platform: %w", err)}
 	}
-	store := platformer.New(f.platform)
+	store := adapter.OpenStore(f.platform)
 	defer store.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), commandLimit)
 	defer cancel()
--- a/cmd/rhubarbpost/cmds/host.go
+++ b/cmd/rhubarbpost/cmds/host.go
@@ -59,7 +59,7 @@
 	ctx, second := exiter.Signals()
 	log.Info(logger.ProcessStarted, "version", version(), "domain", settings.Domain, "listen", settings.Listen.Callers, "store", settings.Store)
 	f, err := forwarder.New(forwarder.Config{
-		Settings: settings, OpenStore: openStore, Layout: adapter.Layout(), Dialect: adapter.Dialect{},
+		Settings: settings, OpenStore: func(address string) forwarder.Store { return adapter.OpenStore(address) }, Layout: adapter.Layout(), Dialect: adapter.Dialect{},
 		Documents: adapter.Documents{}, Merger: merger.New(adapter.Records{}), Logger: log,
 	})
 	if err != nil {
@@ -84,13 +84,6 @@
 	return stopHost(f, second)
 }
 
-func openStore(address string) forwarder.Store {
-	return adapter.NewStore(adapter.StoreConfig{
-		Address: address, CallTimeout: forwarder.StoreCallTimeout, WatchWait: forwarder.WatchWait,
-		DialContext: forwarder.Dialer(forwarder.StoreCallTimeout),
-	})
-}
-
 // stopHost stops a host with notice; a second signal ends it at once.
 func stopHost(f *forwarder.Forwarder, second <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/cmd/rhubarbpost/cmds/processes.go
+++ b/cmd/rhubarbpost/cmds/processes.go
@@ -16,10 +16,10 @@
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
 	"github.com/rhubarbpost/rhubarbpost/internal/presenter"
 	"github.com/rhubarbpost/rhubarbpost/internal/receiver"
-	"github.com/rhubarbpost/rhubarbpost/internal/state/platformer"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/connector"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/spreader"
+	"github.com/rhubarbpost/rhubarbpost/platform/adapter"
 )
 
 // agentStopLimit bounds the wait for the exchanges of a stopping agent or console.
@@ -81,7 +81,7 @@
 }
 
 func runEntry(p process) error {
-	store := platformer.New(p.settings.Platform)
+	store := adapter.OpenStore(p.settings.Platform)
 	defer store.Close()
 	r, err := receiver.New(receiver.Config{Settings: p.settings, Store: store, Logger: p.log})
 	if err != nil {
@@ -102,7 +102,7 @@
 }
 
 func runAgent(p process) error {
-	store := platformer.New(p.settings.Platform)
+	store := adapter.OpenStore(p.settings.Platform)
 	defer store.Close()
 	client := connector.NewClient()
 	c := controller.New(controller.Config{
@@ -162,7 +162,7 @@
 }
 
 func runConsole(p process) error {
-	store := platformer.New(p.settings.Platform)
+	store := adapter.OpenStore(p.settings.Platform)
 	defer store.Close()
 	handler, err := presenter.New(presenter.Config{
 		Applier: applier.New(store), Settings: p.settings, Client: connector.NewClient(), Logger: p.log,
--- a/internal/lab/starter/fleet.go
+++ b/internal/lab/starter/fleet.go
@@ -10,7 +10,7 @@
 	"github.com/rhubarbpost/rhubarbpost/internal/lab/generator"
 	"github.com/rhubarbpost/rhubarbpost/internal/lab/layouter"
 	"github.com/rhubarbpost/rhubarbpost/internal/loader"
-	"github.com/rhubarbpost/rhubarbpost/internal/state/platformer"
+	"github.com/rhubarbpost/rhubarbpost/platform/adapter"
 )
 
 // Fleet is all processes of one user.
@@ -24,7 +24,7 @@
 	Entries   map[string]*Process
 	Agents    map[string]*Process
 	Searchers []*Process
-	Store     *platformer.Client
+	Store     *adapter.Store
 }
 
 // FleetConfig describes a fleet.
@@ -51,7 +51,7 @@
 	}
 	addresses := read[map[string]string](t, filepath.Join(f.Dir, "addresses.json"))
 	f.Platform = addresses["platform"]
-	f.Store = platformer.New(f.Platform)
+	f.Store = adapter.OpenStore(f.Platform)
 	t.Cleanup(f.Store.Close)
 	Start(t, "platform", "lab", "platform", "--listen", f.Platform)
 	f.startHosts(t)
--- a/internal/state/platformer/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package platformer speaks the platform's object API over HTTP.
-package platformer
