pkg/coordination: servers at which nothing listens are left at once; retries of what reached no server are free

Change: a refused connection suspends for 250 ms at a time, until the server is listed anew; a retry counts as extra only if an attempt may have reached a server, as the rule on extra arrivals has it. Connections reset at a server's cap are no refusal. Ruled out: longer pauses at each refusal (a domain that was cut heals at once).

--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
@@ -206,7 +208,7 @@
 		e.log.Info(logger.AttemptFailed, "request", r.call.ID, "server", s.server.ID,
 			"domain", s.server.Domain, "result", a.Code, "status", a.Status, "error", a.Err)
 	}
-	e.act(e.machine.Step(now, &scatterer.Ended{Attempt: item.attempt, Code: a.Code, Final: a.Final, Load: a.Load}))
+	e.act(e.machine.Step(now, &scatterer.Ended{Attempt: item.attempt, Code: a.Code, Final: a.Final, Closed: errors.Is(a.Err, syscall.ECONNREFUSED), Load: a.Load}))
 }
 
 func (e *engine) abandoned(now time.Time, item abandonment) {
--- a/pkg/coordination/placer/placer.go
+++ b/pkg/coordination/placer/placer.go
@@ -57,6 +57,8 @@
 	Rejected
 	// Failed means an error of the server or of the connection.
 	Failed
+	// Closed means that nothing listens at the server's address.
+	Closed
 	// Silent means that no answer came before the attempt was given up.
 	Silent
 	// Misplaced means that another server has the address.
@@ -309,6 +311,8 @@
 		held.load, held.reported = Load{Running: 1, Waiting: 2}, now
 	case Failed:
 		held.fail(now)
+	case Closed:
+		held.close(now)
 	case Silent:
 		held.observe(now, result, p.cfg.Memory)
 	case Misplaced:
@@ -334,6 +338,14 @@
 	s.observed = now
 }
 
+// close suspends a server at which nothing listens. One that starts again is
+// relisted, and the domain of one that was only cut off heals at any moment, so
+// that tries stay frequent.
+func (s *server) close(now time.Time) {
+	s.inARow = max(s.inARow+1, suspendAfter)
+	s.suspended = now.Add(suspensionMin)
+}
+
 // fail notes a failure and suspends the server after some in a row.
 func (s *server) fail(now time.Time) {
 	s.failures += failureSmoothing * (1 - s.failures)
--- a/pkg/coordination/placer/placer_test.go
+++ b/pkg/coordination/placer/placer_test.go
@@ -94,6 +94,30 @@
 	is.True(!choose(t, p, now, list).Doubtful)
 }
 
+// TestClosedServerIsLeftAtOnce has a server at whose address nothing listens:
+// it gets one try each 250 ms however often it has refused, and work as before
+// once it is listed anew.
+func TestClosedServerIsLeftAtOnce(t *testing.T) {
+	is := is.New(t)
+	p := testPlacer()
+	list := servers("near", "near")
+	now := start
+	for range 5 {
+		p.Sent(now, list[0])
+		p.Ended(now, "0", now, Result{Outcome: Closed, Work: work})
+		for range 9 {
+			p.Sent(now, list[1])
+		}
+		is.Equal(choose(t, p, now, list).Server.ID, "1") // however busy the other one is
+		now = now.Add(suspensionMin)
+		is.True(!choose(t, p, now, list[:1]).Doubtful)
+	}
+	p.Ended(now, "0", now, Result{Outcome: Closed, Work: work})
+	is.True(choose(t, p, now, list[:1]).Doubtful)
+	p.Relisted("0")
+	is.True(!choose(t, p, now, list[:1]).Doubtful)
+}
+
 // TestCutDomainIsLeftAsAWhole sends to some servers of a domain in vain and
 // expects none of the others there to be tried but now and then.
 func TestCutDomainIsLeftAsAWhole(t *testing.T) {
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -53,8 +53,10 @@
 	service string
 	tried   []string
 	open    []*attempt
-	// runs counts the attempts that may have run.
-	runs int
+	// runs counts the attempts that may have run, arrivals those that may have
+	// reached a server.
+	runs     int
+	arrivals int
 	// answered is the attempt with the whole answer, or with a final failure.
 	answered uint64
 	code     classifier.Code
@@ -347,6 +349,7 @@
 	})
 }
 
+	p.arrivals++
 func (m *Machine) ended(now time.Time, e *Ended) {
 	a := m.attempts[e.Attempt]
 	if a == nil {
@@ -354,7 +357,10 @@
 	}
 	f := a.flight
 	p := &f.parts[a.part]
-	m.release(now, a, outcomeOf(e.Code), e.Load)
+	m.release(now, a, outcomeOf(e), e.Load)
+	if e.Code == classifier.ServerUnreachable || e.Code == classifier.NotSent {
+		p.arrivals--
+	}
 	if e.Code.NotRun() {
 		p.runs--
 	} else {
@@ -373,8 +379,11 @@
 	m.conclude(now, f)
 }
 
-func outcomeOf(code classifier.Code) placer.Outcome {
-	switch code {
+func outcomeOf(e *Ended) placer.Outcome {
+	if e.Closed {
+		return placer.Closed
+	}
+	switch e.Code {
 	case classifier.OK:
 		return placer.Answered
 	case classifier.ServerShed, classifier.ConnectionQuota:
@@ -460,7 +469,8 @@
 	if !ok || choice.Doubtful {
 		return e.Code
 	}
-	if !m.budget(p.service).Spend() {
+	// The first attempt that reaches a server is none beside the request.
+	if p.arrivals > 0 && !m.budget(p.service).Spend() {
 		return e.Code
 	}
 	m.send(now, f, i, choice, ReasonRetry)
--- a/pkg/coordination/scatterer/types.go
+++ b/pkg/coordination/scatterer/types.go
@@ -54,7 +54,9 @@
 	// Final says that a failure is the server's own answer, which goes to the
 	// caller as it is if no other attempt is left.
 	Final bool
-	Load  *placer.Load
+	// Closed says that nothing listens at the server's address.
+	Closed bool
+	Load   *placer.Load
 }
 
 // Abandoned says that the caller has gone.
