internal/forwarder: hand queries over to no older configuration, and within their objective

Now 2 ms of the objective are kept for the way between hosts. Cause 2: a gathering host with an older configuration served by it. Cause 3: after a gathering host had failed in the middle of a query, another one and then this host sent it again in full, more attempts than the route allows. Now this host sends each part once (test). Failed try: handing queries to a domain with servers of more of their shards: on these sites the replicas of shards rotate over all domains, so that none has fewer than two thirds; nothing was handed over.

--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -16,7 +19,8 @@
 )
 
 const (
-	// handOverHeader marks a caller's request that another host has handed over.
+	// handOverHeader marks a caller's request that another host has handed over;
+	// its value is the version of the configuration by which that host found the route.
 	handOverHeader = "X-Rhubarbpost-Gather"
 	// handOverDial is some hundred times the delay within a failure domain.
 	handOverDial = 60 * time.Millisecond
@@ -24,6 +28,9 @@
 	handOverTries = 2
 	// handOverIdle is how many connections are kept to a gathering host.
 	handOverIdle = 4
+	// handOverWay is kept of the objective for the way between two hosts: twice
+	// the 0.5 ms between failure domains, and as much again to read and write.
+	handOverWay = 2 * time.Millisecond
 	// gathererSlots is how many queries a gathering host has in flight without delay.
 	gathererSlots = 8
 )
@@ -95,10 +102,17 @@
 	d.transport.CloseIdleConnections()
 }
 
+var errNotGathered = errors.New("the host has no such route, or an older configuration")
+
 // handOver lets a gathering host serve a query and reports whether it did; if
 // not, nothing has been written and this host serves it.
 func (f *Forwarder) handOver(w http.ResponseWriter, r *http.Request, a *arrival) bool {
-	connections := f.connections(a.route)
+	target, ok := a.route.Target.(*matcher.Sharded)
+	if !ok {
+		return false
+	}
+	arrived, patience := time.Now(), a.call.Left
+	connections := f.connections(target)
 	var tried []string
 	for range handOverTries {
 		host := f.delegate.choose(f.self(), connections, tried, a.route.Objective)
@@ -109,15 +123,17 @@
 		sent := time.Now()
 		answer, err := f.passTo(r, a, host)
 		outcome := placer.Answered
-		if err != nil {
-			outcome = placer.Failed
-		}
-		if r.Context().Err() != nil {
+		switch {
+		case r.Context().Err() != nil:
 			outcome = placer.Withdrawn
+		case errors.Is(err, context.DeadlineExceeded):
+			outcome = placer.Silent
+		case err != nil:
+			outcome = placer.Failed
 		}
 		f.delegate.ended(host.ID, sent, outcome, a.route.Objective)
 		f.metrics.handedOver(err)
-		if err == nil && answer.Status != http.StatusNotFound {
+		if err == nil {
 			writeAnswer(w, r.Method, answer)
 			return true
 		}
@@ -126,10 +142,23 @@
 		}
 		f.cfg.Logger.Info(logger.HandOverFailed, "request", a.call.ID, "gatherer", host.ID, "error", err,
 			"tookMillis", time.Since(sent).Milliseconds())
+		a.spent = time.Since(arrived)
+		a.call.Left = patience - a.spent
+		if mayHaveGathered(err) {
+			a.sentOnce = true
+			return false
+		}
 	}
 	return false
 }
 
+// mayHaveGathered reports whether a gathering host may have sent a query on
+// before the exchange with it failed.
+func mayHaveGathered(err error) bool {
+	var opErr *net.OpError
+	return !errors.Is(err, errNotGathered) && (!errors.As(err, &opErr) || opErr.Op != "dial")
+}
+
 // passTo sends the caller's request to a gathering host and reads the whole answer.
 func (f *Forwarder) passTo(r *http.Request, a *arrival, host *lister.Server) (*Answer, error) {
 	deadline := time.Now().Add(min(a.call.Left, a.route.Timeout))
@@ -137,26 +166,25 @@
 	defer cancel()
 	out := a.outbound
 	out.header = out.header.Clone()
-	out.header.Set(handOverHeader, f.Settings().Name)
+	out.header.Set(handOverHeader, strconv.FormatUint(a.version, 10))
 	response, err := f.delegate.transport.RoundTrip(out.request(ctx, host))
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
-	if err != nil {
+	switch {
+	case err != nil:
 		return nil, err
+	case response.StatusCode == http.StatusMisdirectedRequest:
+		return nil, errNotGathered
 	}
 	return &Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
-// connections returns the least number of connections that a shard of a route
+// connections returns the number of connections that a server of the first shard
 // takes from all hosts, 0 without a bound.
-func (f *Forwarder) connections(route *matcher.Route) int {
-	target, ok := route.Target.(*matcher.Sharded)
-	if !ok {
-		return 0
-	}
+func (f *Forwarder) connections(target *matcher.Sharded) int {
 	service, ok := f.table.Load().Service(target.Services[0])
 	if !ok {
 		return 0
@@ -191,11 +219,25 @@
 // serveControl serves queries that other hosts hand over, and the calls of peers.
 func (f *Forwarder) serveControl(calls http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get(handOverHeader) == "" {
+		version := r.Header.Get(handOverHeader)
+		if version == "" {
 			calls.ServeHTTP(w, r)
 			return
 		}
 		r.Header.Del(handOverHeader)
-		f.serve(w, r, false)
+		f.gather(w, r, version)
 	})
 }
+
+// gather serves a query that another host has handed over, unless that host
+// knows better: its configuration is newer, or this one has none for the query.
+func (f *Forwarder) gather(w http.ResponseWriter, r *http.Request, version string) {
+	a, failure := f.accept(w, r)
+	theirs, err := strconv.ParseUint(version, 10, 64)
+	if failure != nil || err != nil || a.version < theirs {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	a.spent = handOverWay
+	f.run(w, r, a)
+}
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -35,10 +35,14 @@
 
 // arrival is a caller's request with the channel that gets its one reply.
 type arrival struct {
-	id       uint64
-	call     Call
-	route    *matcher.Route
-	version  uint64
+	id      uint64
+	call    Call
+	route   *matcher.Route
+	version uint64
+	// spent is the part of the objective that isn't left to the engine.
+	spent time.Duration
+	// sentOnce says that another host may have sent the request to each part.
+	sentOnce bool
 	outbound outbound
 	reply    chan reply
 }
@@ -174,7 +178,7 @@
 	case *arrival:
 		e.requests[item.id] = item
 		e.answers[item.id] = make(map[uint64]*Answer)
-		e.act(e.machine.Step(now, &scatterer.Arrived{Request: item.id, Route: item.route, Left: item.call.Left}))
+		e.act(e.machine.Step(now, &scatterer.Arrived{Request: item.id, Route: item.route, Left: item.call.Left, Spent: item.spent, SentOnce: item.sentOnce}))
 	case ending:
 		e.ended(now, item)
 	case abandonment:
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -33,19 +33,19 @@
 	if f.leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	f.serve(w, r, true)
-}
-
-// serve serves a request, which may be handed over to a gathering host.
-func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request, mayHandOver bool) {
 	a, failure := f.accept(w, r)
 	if failure != nil {
 		f.refuse(w, a, failure)
 		return
 	}
-	if mayHandOver && f.handOver(w, r, a) {
+	if f.handOver(w, r, a) {
 		return
 	}
+	f.run(w, r, a)
+}
+
+// run lets the engine serve a request and writes the answer.
+func (f *Forwarder) run(w http.ResponseWriter, r *http.Request, a *arrival) {
 	f.engine.push(a)
 	select {
 	case end := <-a.reply:
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -225,7 +225,8 @@
 // after the objective that the request would only delay others. One request now
 // and then is sent all the same, so that the estimate can recover.
 func (m *Machine) tooLate(now time.Time, f *flight, choices []placer.Choice) bool {
-	if m.cfg.LateFactor == 0 {
+	left := f.answerBy.Sub(now)
+	if m.cfg.LateFactor == 0 || left <= 0 {
 		return false
 	}
 	expected := make([]time.Duration, 0, len(choices))
@@ -239,7 +240,7 @@
 		return false
 	}
 	slices.Sort(expected)
-	return expected[needed-1] > time.Duration(m.cfg.LateFactor*float64(f.answerBy.Sub(now)))
+	return expected[needed-1] > time.Duration(m.cfg.LateFactor*float64(left))
 }
 
 // mayTry reports whether a request that seems hopeless is sent all the same,
@@ -271,7 +272,13 @@
 			f.parts[i].service = service
 		}
 	}
-	f.answerBy = earliest(now.Add(route.Objective-m.answerMargin(f)), f.deadline)
+	if e.SentOnce {
+		f.ran = true
+		for i := range f.parts {
+			f.parts[i].runs, f.parts[i].arrivals = 1, 1
+		}
+	}
+	f.answerBy = earliest(now.Add(route.Objective-e.Spent-m.answerMargin(f)), f.deadline)
 	return f
 }
 
@@ -342,6 +349,7 @@
 	p.open = append(p.open, a)
 	p.tried = append(p.tried, choice.Server.ID)
 	p.runs++
+	p.arrivals++
 	m.placer.Sent(now, choice.Server)
 	m.out = append(m.out, &Send{
 		Request: f.id, Attempt: a.id, Part: i, Server: choice.Server, Reason: reason,
@@ -349,7 +357,6 @@
 	})
 }
 
-	p.arrivals++
 func (m *Machine) ended(now time.Time, e *Ended) {
 	a := m.attempts[e.Attempt]
 	if a == nil {
--- a/pkg/coordination/scatterer/scatterer_test.go
+++ b/pkg/coordination/scatterer/scatterer_test.go
@@ -101,6 +101,28 @@
 	is.Equal(m.Len(), 0)
 }
 
+// TestSpentTimeCountsAgainstTheObjective lets one of four shards be late in a
+// query that has come over another host; one that comes after its objective is
+// neither refused nor held for the rest.
+func TestSpentTimeCountsAgainstTheObjective(t *testing.T) {
+	for _, spent := range []time.Duration{objective / 2, 2 * objective} {
+		is := is.New(t)
+		m := New(Config{Placer: placer.Config{Domain: "d"}, AnswerMargin: margin, LateFactor: 1.5, Hosts: 1}, newDirectory("abcd", 1))
+		sends := of[*Send](clone(m.Step(start, &Arrived{Request: 1, Route: sharded("abcd", 0.75), Left: patience, Spent: spent})))
+		is.Equal(len(sends), 4)
+		var done []Action
+		for _, send := range sends[:3] {
+			done = end(m, start, send, classifier.OK)
+		}
+		at := start.Add(objective - margin - spent)
+		if at.After(start) {
+			is.Equal(len(done), 0)
+			done = clone(m.Step(at, &Woken{}))
+		}
+		is.Equal(len(of[*Complete](done)), 1)
+	}
+}
+
 // TestEarlyAnswerLeavesBeforeTheObjective lets one of four shards be late.
 func TestEarlyAnswerLeavesBeforeTheObjective(t *testing.T) {
 	is := is.New(t)
@@ -278,6 +300,33 @@
 	is.True(extra >= requests*ratio*9/10)
 }
 
+// TestRequestsSentByAnotherHostKeepToTheirAttempts takes a query that another
+// host may have sent to each shard: one attempt of two is left here.
+func TestRequestsSentByAnotherHostKeepToTheirAttempts(t *testing.T) {
+	is := is.New(t)
+	m := testMachine(newDirectory("ab", 3))
+	sends := of[*Send](clone(m.Step(start, &Arrived{Request: 1, Route: sharded("ab", 0.5), Left: patience, SentOnce: true})))
+	is.Equal(len(sends), 2)
+	is.Equal(len(of[*Send](clone(m.Step(start.Add(objective/2), &Woken{})))), 0) // no hedge
+	is.Equal(len(of[*Send](end(m, start.Add(objective/2), sends[0], classifier.ServerFailed))), 0)
+}
+
+// TestRetryOfWhatReachedNoServerIsFree has no extra attempts to spend: a
+// request that reached no server goes to the next one all the same, one that a
+// server has refused doesn't, since that one has arrived.
+func TestRetryOfWhatReachedNoServerIsFree(t *testing.T) {
+	is := is.New(t)
+	for code, retries := range map[classifier.Code]int{classifier.ServerUnreachable: 1, classifier.ServerShed: 0} {
+		m := New(Config{Placer: placer.Config{Domain: "d"}, Hosts: 1}, newDirectory("a", 2))
+		sends := of[*Send](arrive(m, start, 1, single(true, 2)))
+		again := of[*Send](end(m, start, sends[0], code))
+		is.Equal(len(again), retries)
+		if retries > 0 {
+			is.True(again[0].Server.ID != sends[0].Server.ID)
+		}
+	}
+}
+
 // TestPromisesUnderAnyOutcome plays random requests and outcomes and holds the
 // machine to its promises.
 func TestPromisesUnderAnyOutcome(t *testing.T) {
--- a/pkg/coordination/scatterer/types.go
+++ b/pkg/coordination/scatterer/types.go
@@ -44,6 +44,11 @@
 	Route   *matcher.Route
 	// Left is the time that the caller still waits.
 	Left time.Duration
+	// Spent is the part of the route's objective that isn't left here: what has
+	// passed, and what the way over another host takes.
+	Spent time.Duration
+	// SentOnce says that each part may have been at a server before.
+	SentOnce bool
 }
 
 // Ended ends one attempt.
