--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -42,8 +42,10 @@
 	// and leaves a second try within the bound on configuration.
 	StoreCallTimeout = 900 * time.Millisecond
 	// WatchWait bounds, with the call timeout, how long a connection that has
-	// gone silent goes unnoticed; well within the 4 s after which a host must be up to date again.
-	WatchWait = 1800 * time.Millisecond
+	// gone silent goes unnoticed; well within the 4 s after which a
+	// host must be up to date again, and with the call timeout and a round of
+	// peers within the age at which peers follow the store by themselves.
+	WatchWait = 2200 * time.Millisecond
 )
 
 // Settings are the settings of a host that forwards by the platform's configuration.
