--- a/_scripts/quickstart.sh
+++ b/_scripts/quickstart.sh
@@ -1,17 +1,20 @@
 #!/usr/bin/env bash
 # Starts one user's query and order service with 9 entry hosts in three failure
 # domains as processes on loopback, sends a load, prints its summary and stops
-# all processes. With --keep it leaves them running.
+# all processes. With --keep it leaves them running. With --site it starts the
+# platform's store, backend servers and six hosts as a prepared platform has them.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 keep=false
 user=kitanoiri
+site=false
 while [ $# -gt 0 ]; do
   case "$1" in
     --keep) keep=true ;;
+    --site) site=true ;;
     --user) user="$2"; shift ;;
-    *) echo "usage: quickstart.sh [--keep] [--user kitanoiri|crumb-tier]" >&2; exit 2 ;;
+    *) echo "usage: quickstart.sh [--keep] [--site] [--user kitanoiri|crumb-tier]" >&2; exit 2 ;;
   esac
   shift
 done
@@ -62,32 +65,54 @@
 trap give_up ERR INT TERM
 
 go build -o "$dir/bin/" ./cmd/...
-"$dir/bin/lab" layout --user "$user" --dir "$dir"
-platform=$(sed -n 's/.*"platform": "\(.*\)".*/\1/p' "$dir/addresses.json")
-console=$(sed -n 's/.*"console": "\(.*\)".*/\1/p' "$dir/addresses.json")
+start_site() {
+  start platform "$dir/bin/lab" site --dir "$dir"
+  for _ in $(seq 50); do
+    [ -s "$dir/site.json" ] && break
+    sleep 0.1
+  done
+  for settings in "$dir"/*.host.jsonc; do
+    start "$(basename "$settings" .jsonc)" "$dir/bin/rhubarbpost" host --settings "$settings"
+  done
+  "$dir/bin/lab" call --site "$dir/site.json"
+  running="caller addresses in $dir/site.json"
+}
 
-start platform "$dir/bin/lab" platform --listen "$platform"
-for settings in "$dir"/*.agent.jsonc; do
-  start "$(basename "$settings" .jsonc)" "$dir/bin/rhubarbpost" agent --settings "$settings"
-done
-for settings in "$dir"/*.entry.jsonc; do
-  start "$(basename "$settings" .jsonc)" "$dir/bin/rhubarbpost" entry --settings "$settings"
-done
-start console "$dir/bin/rhubarbpost" console --settings "$dir/console.jsonc"
-for settings in "$dir"/*.searchers.jsonc; do
-  start "$(basename "$settings" .jsonc)" "$dir/bin/lab" searcher --settings "$settings"
-done
-for _ in $(seq 50); do
-  "$dir/bin/rhubarbpost" config apply "examples/$user.jsonc" --platform "$platform" --reason quickstart >"$dir/apply.log" 2>&1 && break
-  sleep 0.1
-done
-cat "$dir/apply.log" | tail -n 1
+start_user() {
+  "$dir/bin/lab" layout --user "$user" --dir "$dir"
+  platform=$(sed -n 's/.*"platform": "\(.*\)".*/\1/p' "$dir/addresses.json")
+  console=$(sed -n 's/.*"console": "\(.*\)".*/\1/p' "$dir/addresses.json")
 
-"$dir/bin/lab" load --settings "$dir/load.jsonc"
+  start platform "$dir/bin/lab" platform --listen "$platform"
+  for settings in "$dir"/*.agent.jsonc; do
+    start "$(basename "$settings" .jsonc)" "$dir/bin/rhubarbpost" agent --settings "$settings"
+  done
+  for settings in "$dir"/*.entry.jsonc; do
+    start "$(basename "$settings" .jsonc)" "$dir/bin/rhubarbpost" entry --settings "$settings"
+  done
+  start console "$dir/bin/rhubarbpost" console --settings "$dir/console.jsonc"
+  for settings in "$dir"/*.searchers.jsonc; do
+    start "$(basename "$settings" .jsonc)" "$dir/bin/lab" searcher --settings "$settings"
+  done
+  for _ in $(seq 50); do
+    "$dir/bin/rhubarbpost" config apply "examples/$user.jsonc" --platform "$platform" --reason quickstart >"$dir/apply.log" 2>&1 && break
+    sleep 0.1
+  done
+  cat "$dir/apply.log" | tail -n 1
+
+  "$dir/bin/lab" load --settings "$dir/load.jsonc"
+  running="platform $platform, console http://$console/"
+}
+
+if "$site"; then
+  start_site
+else
+  start_user
+fi
 
 if "$keep"; then
   trap - ERR INT TERM
-  echo "running: platform $platform, console http://$console/, settings and logs in $dir"
+  echo "running: $running, settings and logs in $dir"
   echo "stop with: kill -TERM ${pids[*]}"
   exit 0
 fi
--- a/cmd/lab/cmds/cmds.go
+++ b/cmd/lab/cmds/cmds.go
@@ -37,7 +37,7 @@
 	parser := flaggy.NewParser("lab")
 	parser.Description = "Stand-ins for the platform, backend servers and callers; for tests and the quickstart only."
 	parser.DisableShowVersionWithVersion()
-	commands := []command{platformCommand(), searcherCommand(), loadCommand(out), layoutCommand()}
+	commands := []command{platformCommand(), searcherCommand(), loadCommand(out), layoutCommand(), siteCommand(), callCommand(out)}
 	for _, c := range commands {
 		parser.AttachSubcommand(c.sub, 1)
 	}
@@ -86,6 +86,49 @@
 	return nil
 }
 
+func siteCommand() command {
+	sub := newCommand("site", "Serve a store and backend servers, and write settings for hosts.", "site --dir /tmp/site")
+	cfg := standin.SiteConfig{Dir: ".", BasePort: 17600, Hosts: 2, Domains: []string{"east", "north", "west"}, Shards: 6}
+	sub.String(&cfg.Dir, "d", "dir", "Folder to write to")
+	sub.Int(&cfg.BasePort, "b", "basePort", "Ports of the hosts are handed out from here on")
+	sub.Int(&cfg.Hosts, "n", "hosts", "Hosts in each of three failure domains")
+	sub.Int(&cfg.Shards, "s", "shards", "Shards of the query service")
+	return command{sub: sub, run: func() error {
+		site, err := standin.StartSite(cfg)
+		if err != nil {
+			return err
+		}
+		ctx, _ := exiter.Signals()
+		<-ctx.Done()
+		site.Close()
+		return nil
+	}}
+}
+
+func callCommand(out io.Writer) command {
+	sub := newCommand("call", "Send queries and orders to the hosts of a site and check the answers.", "call --site /tmp/site/site.json")
+	file, requests := "site.json", 200
+	sub.String(&file, "s", "site", "The site.json that lab site has written")
+	sub.Int(&requests, "r", "requests", "Requests to send")
+	return command{sub: sub, run: func() error {
+		site, err := readSettings[standin.SiteFile](file)
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), joinLimit)
+		defer cancel()
+		summary, err := standin.CallSite(ctx, site, requests)
+		if err != nil {
+			return err
+		}
+		err = summary.Print(out)
+		if err == nil && len(summary.Wrong) > 0 {
+			err = standin.ErrWrongAnswers
+		}
+		return err
+	}}
+}
+
 func searcherCommand() command {
 	sub := newCommand("searcher", "Serve one or more searchers.", "searcher --settings bay-console-sapporo.searchers.jsonc")
 	var file string
--- /dev/null
+++ b/internal/lab/standin/caller.go
@@ -0,0 +1,117 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// callTimeout is the patience of a caller.
+	callTimeout = 2 * time.Second
+	// readyInterval is how often a host that isn't ready is asked again.
+	readyInterval = 50 * time.Millisecond
+	// orderEvery is how many requests there are to one order.
+	orderEvery = 10
+)
+
+// ErrWrongAnswers says that a caller of a site got answers that aren't right.
+var ErrWrongAnswers = errors.New("a request was not answered, or not rightly")
+
+// CallSummary sums up the calls to a site.
+type CallSummary struct {
+	Queries int
+	Orders  int
+	Wrong   []string
+	// Latencies are those of all calls, shortest first.
+	Latencies []time.Duration
+}
+
+// CallSite waits until all hosts of a site are ready and sends requests to each
+// in turn, one at a time; each tenth is an order.
+func CallSite(ctx context.Context, site SiteFile, requests int) (*CallSummary, error) {
+	for _, address := range site.Readiness {
+		err := waitReady(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+	}
+	var want strings.Builder
+	for _, row := range site.Rows {
+		want.Write(Record(row))
+	}
+	s := &CallSummary{}
+	for i := range requests {
+		id := fmt.Sprint("call-", i)
+		method, path := http.MethodGet, queryPath+"1"
+		if i%orderEvery == orderEvery-1 {
+			method, path = http.MethodPost, orderPath+"1"
+			s.Orders++
+		} else {
+			s.Queries++
+		}
+		begun := time.Now()
+		status, body, err := callHost(ctx, site.Callers[i%len(site.Callers)], site.Host, method, path, id)
+		s.Latencies = append(s.Latencies, time.Since(begun))
+		right := method == http.MethodPost || body == want.String()
+		if err != nil || status != http.StatusOK || !right {
+			s.Wrong = append(s.Wrong, fmt.Sprintf("%s %s %s: status %d, error %v", id, method, path, status, err))
+		}
+	}
+	slices.Sort(s.Latencies)
+	return s, nil
+}
+
+// Print writes the summary, and each wrong answer.
+func (s *CallSummary) Print(w io.Writer) error {
+	middle, last := time.Duration(0), time.Duration(0)
+	if len(s.Latencies) > 0 {
+		middle, last = s.Latencies[len(s.Latencies)/2], s.Latencies[len(s.Latencies)-1]
+	}
+	for _, text := range s.Wrong {
+		_, _ = fmt.Fprintln(w, text)
+	}
+	_, err := fmt.Fprintf(w, "queries             %d\norders              %d\nwrong or lost       %d\np50 / longest       %v / %v\n",
+		s.Queries, s.Orders, len(s.Wrong), middle, last)
+	return err
+}
+
+func waitReady(ctx context.Context, address string) error {
+	for {
+		status, _, err := callHost(ctx, address, address, http.MethodGet, "/-/ready", "")
+		if err == nil && status == http.StatusOK {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s is not ready: status %d, %w", address, status, errors.Join(err, ctx.Err()))
+		case <-time.After(readyInterval):
+		}
+	}
+}
+
+func callHost(ctx context.Context, address, host, method, path, id string) (status int, body string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, http.NoBody)
+	if err != nil {
+		return 0, "", err
+	}
+	r.Host = host
+	if id != "" {
+		r.Header.Set("X-Request-Id", id)
+		r.Header.Set("X-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(data), err
+}
