--- a/internal/forwarder/follower.go
+++ b/internal/forwarder/follower.go
@@ -40,7 +40,7 @@
 				f.metrics.storeCall("watch", err)
 				next = &watcher.Changed{Page: page, Err: err}
 			case *watcher.Wait:
-				sleep(ctx, a.Delay)
+				sleep(ctx, f.delay(a))
 				next = &watcher.Woken{}
 			case *watcher.Replace:
 				f.replaced(prefix, a)
@@ -55,6 +55,16 @@
 	}
 }
 
+// delay returns how long to wait before the next call to the store.
+func (f *Forwarder) delay(a *watcher.Wait) time.Duration {
+	if !a.Retry {
+		return a.Delay
+	}
+	f.sourceMu.Lock()
+	defer f.sourceMu.Unlock()
+	return f.source.RetryDelay(a.Delay)
+}
+
 // sleep waits until the context ends at the latest.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/forwarder/members.go
+++ b/internal/forwarder/members.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/watcher"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/storer"
 )
 
@@ -38,7 +39,7 @@
 		err := f.listHosts(ctx, &joined)
 		if err != nil {
 			f.cfg.Logger.Warn(logger.MemberFailed, "joined", joined, "error", err)
-			sleep(ctx, memberRetry)
+			sleep(ctx, f.delay(&watcher.Wait{Delay: memberRetry, Retry: true}))
 			continue
 		}
 		sleep(ctx, memberInterval)
--- a/pkg/coordination/watcher/source.go
+++ b/pkg/coordination/watcher/source.go
@@ -35,6 +35,19 @@
 	return !s.peers || now.Sub(s.fresh) > s.limit
 }
 
+// peerPatience is how many times less often a host tries a store that fails
+// while peers follow it too: these notice first that it is back, and with two of
+// them in a failure domain of some thirty hosts the others make most of the calls.
+const peerPatience = 4
+
+// RetryDelay stretches the delay after a failed call where peers try the store too.
+func (s *Source) RetryDelay(d time.Duration) time.Duration {
+	if s.peers {
+		return peerPatience * d
+	}
+	return d
+}
+
 // Peers reports whether peers should be asked.
 func (s *Source) Peers() bool {
 	return s.peers
--- a/pkg/coordination/watcher/source_test.go
+++ b/pkg/coordination/watcher/source_test.go
@@ -23,6 +23,8 @@
 	is.True(!s.Own(start.Add(3600 * time.Millisecond)))
 	is.True(s.Own(start.Add(3601 * time.Millisecond))) // no peer answers
 	s.Told(start.Add(4*time.Second), 0)
+	is.Equal(s.RetryDelay(time.Second), peerPatience*time.Second)
 	s.SetPeers(false)
 	is.True(s.Own(start.Add(4 * time.Second)))
+	is.Equal(s.RetryDelay(time.Second), time.Second)
 }
--- a/pkg/coordination/watcher/watcher.go
+++ b/pkg/coordination/watcher/watcher.go
@@ -59,6 +59,8 @@
 // Wait waits before the next call.
 type Wait struct {
 	Delay time.Duration
+	// Retry says that the last call failed.
+	Retry bool
 }
 
 // Replace takes a page as the whole content.
@@ -168,5 +170,5 @@
 		actions = append(actions, &Lost{Err: err})
 	}
 	m.delay = min(max(2*m.delay, m.cfg.RetryMin), m.cfg.RetryMax)
-	return append(actions, &Wait{Delay: m.delay})
+	return append(actions, &Wait{Delay: m.delay, Retry: true})
 }
--- a/pkg/coordination/watcher/watcher_test.go
+++ b/pkg/coordination/watcher/watcher_test.go
@@ -58,13 +58,13 @@
 	m.Step(start, &Woken{})
 	m.Step(start, &Listed{Page: storer.Page{Version: 7}})
 	lost := errors.New("reset")
-	is.Equal(m.Step(start, &Changed{Err: lost}), []Action{&Lost{Err: lost}, &Wait{Delay: 100 * time.Millisecond}})
+	is.Equal(m.Step(start, &Changed{Err: lost}), []Action{&Lost{Err: lost}, &Wait{Delay: 100 * time.Millisecond, Retry: true}})
 	is.Equal(m.Step(start, &Woken{}), []Action{&List{}}) // entries may have lapsed
-	is.Equal(m.Step(start, &Listed{Err: lost}), []Action{&Wait{Delay: 200 * time.Millisecond}})
+	is.Equal(m.Step(start, &Listed{Err: lost}), []Action{&Wait{Delay: 200 * time.Millisecond, Retry: true}})
 	m.Step(start, &Woken{})
-	is.Equal(m.Step(start, &Listed{Err: lost}), []Action{&Wait{Delay: 300 * time.Millisecond}})
+	is.Equal(m.Step(start, &Listed{Err: lost}), []Action{&Wait{Delay: 300 * time.Millisecond, Retry: true}})
 	m.Step(start, &Woken{})
 	page := storer.Page{Version: 20}
 	is.Equal(m.Step(start.Add(time.Second), &Listed{Page: page})[0], &Replace{Page: page, Outage: time.Second})
-	is.Equal(m.Step(start, &Changed{Err: lost})[1], &Wait{Delay: 100 * time.Millisecond}) // the delay begins anew
+	is.Equal(m.Step(start, &Changed{Err: lost})[1], &Wait{Delay: 100 * time.Millisecond, Retry: true}) // the delay begins anew
 }
