--- a/cmd/rhubarbpost/cmds/docs_test.go
+++ b/cmd/rhubarbpost/cmds/docs_test.go
@@ -33,6 +33,7 @@
 		"RESULT-CODES.md":    resultCodes(),
 		"LOG-EVENTS.md":      logEvents(),
 		"CLI.md":             commandLine(),
+		"LIMITS.md":          limits(t),
 		"config.schema.json": configSchema(t),
 	} {
 		t.Run(file, func(t *testing.T) {
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -25,9 +25,14 @@
 	tcpUserTimeout = 18
 	// idleConnections are kept to each server: one host rarely has more requests at one.
 	idleConnections = 2
-	idleTimeout     = 30 * time.Second
-	maxAnswerBytes  = 8 << 20
-	bufferBytes     = 2 << 10
+	// idleTimeout keeps connections over the pauses between requests of the
+	// quietest routes; opening them anew is priced.
+	idleTimeout = 30 * time.Second
+	// maxAnswerBytes is some thousand times the usual answer; more is a fault of the server.
+	maxAnswerBytes = 8 << 20
+	// bufferBytes holds a usual answer, in place of the library's 4 KB for each
+	// of some hundred connections.
+	bufferBytes = 2 << 10
 )
 
 // outbound is the part of a request that is the same for all attempts.
