pkg/coordination/placer: the load that a refusing server reports is believed

Cause: a refusal set the queue of a server to three requests, also where the refusal itself reported a full queue of fourteen, so that the expected end of queries was too early under overload. Test fails on the code before.

--- a/pkg/coordination/placer/placer.go
+++ b/pkg/coordination/placer/placer.go
@@ -308,7 +308,9 @@
 	case Answered:
 		held.answered(now, result, p.cfg.Memory)
 	case Rejected:
-		held.load, held.reported = Load{Running: 1, Waiting: 2}, now
+		if result.Load == nil {
+			held.load, held.reported = Load{Running: 1, Waiting: 2}, now
+		}
 	case Failed:
 		held.fail(now)
 	case Closed:
--- a/pkg/coordination/placer/placer_test.go
+++ b/pkg/coordination/placer/placer_test.go
@@ -94,6 +94,23 @@
 	is.True(!choose(t, p, now, list).Doubtful)
 }
 
+// TestRefusingServerIsBelieved has two servers that refuse, of which one tells
+// of a long queue and one of none.
+func TestRefusingServerIsBelieved(t *testing.T) {
+	is := is.New(t)
+	p := testPlacer()
+	list := servers("near", "near")
+	for i, load := range []*Load{{Running: 2, Waiting: 12, Slots: 2}, nil} {
+		p.Sent(start, list[i])
+		p.Ended(start, list[i].ID, start, Result{Outcome: Rejected, Work: work, Load: load})
+	}
+	choice := choose(t, p, start, list)
+	is.Equal(choice.Server.ID, "1")
+	is.Equal(choice.Ahead, 1.5) // what is taken of a server that only refuses
+	first, _ := p.Choose(start, list[:1], nil, work)
+	is.Equal(first.Ahead, 7.0)
+}
+
 // TestClosedServerIsLeftAtOnce has a server at whose address nothing listens:
 // it gets one try each 250 ms however often it has refused, and work as before
 // once it is listed anew.
