pkg/coordination/scatterer, internal/forwarder: the shards of another failure domain are gathered there

Change: three or more such shards go as one slice to a host of the domain that has servers for most of them. It chooses servers, hedges and answers early as for a query of its own, and sends back the merged rows and the proofs. It confirms the receipt at once (102); without that in 30 ms, or by another version, or from a host that is gone, each part is sent by itself. The parts of a slice end as one event, since their rows come merged. Ruled out: handing over the whole query (the replicas rotate over the domains). Known: a slice that comes back with missing parts uses up their attempts, so a query that lost another part fails at its objective where it would have come late.

--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -78,8 +78,21 @@
 	if plan.Direct {
 		return nil
 	}
-	candidates := make([]*lister.Server, 0, len(plan.Gatherers))
-	for _, host := range plan.Gatherers {
+	return d.least(plan.Gatherers, tried, work)
+}
+
+// chooseIn returns a host of a failure domain for a slice of a query, or nil if
+// none is known there that seems to serve.
+func (d *delegate) chooseIn(domain string, connections int, work time.Duration) *lister.Server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.least(delegator.Peers(domain, d.hosts, connections), nil, work)
+}
+
+// least returns the host that is expected to answer first and notes the send.
+func (d *delegate) least(hosts []delegator.Host, tried []string, work time.Duration) *lister.Server {
+	candidates := make([]*lister.Server, 0, len(hosts))
+	for _, host := range hosts {
 		candidates = append(candidates, &lister.Server{ID: host.Name, Address: host.Address, Domain: host.Domain, Slots: gathererSlots})
 	}
 	now := time.Now()
@@ -239,5 +252,10 @@
 		return
 	}
 	a.spent = handOverWay
+	wanted := r.Header.Get(sliceHeader)
+	if wanted != "" {
+		f.gatherSlice(w, r, a, wanted, a.version == theirs)
+		return
+	}
 	f.run(w, r, a)
 }
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -43,6 +43,8 @@
 	spent time.Duration
 	// sentOnce says that another host may have sent the request to each part.
 	sentOnce bool
+	// slice says that the request is a slice of another host's.
+	slice    bool
 	outbound outbound
 	reply    chan reply
 }
@@ -60,6 +62,9 @@
 	answer  *Answer
 }
 
+// sliceEnding ends all attempts of a slice.
+type sliceEnding struct{ ends []ending }
+
 type listing struct {
 	entries []lister.Entry
 	source
@@ -75,6 +80,7 @@
 func (*arrival) engineEvent()    {}
 func (abandonment) engineEvent() {}
 func (ending) engineEvent()      {}
+func (sliceEnding) engineEvent() {}
 func (*listing) engineEvent()    {}
 func (hostCount) engineEvent()   {}
 func (extraChange) engineEvent() {}
@@ -97,6 +103,8 @@
 	servers  *lister.Lister
 	assessor *assessor.Assessor
 	unfit    atomic.Bool
+	// passSlice has a host of another failure domain gather some parts.
+	passSlice func(ctx context.Context, r *arrival, s *scatterer.SendSlice) []*Answer
 	// checkStore asks the store for a sign of life and tells the engine of none.
 	checkStore func()
 	requests   map[uint64]*arrival
@@ -112,11 +120,11 @@
 	done      chan struct{}
 }
 
-func newEngine(cfg Config, metrics *counters, c *client, checkStore func()) *engine {
+func newEngine(cfg Config, metrics *counters, c *client, checkStore func(), passSlice func(context.Context, *arrival, *scatterer.SendSlice) []*Answer) *engine {
 	servers := lister.New(lister.Config{Retention: retention})
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &engine{
-		log: cfg.Logger, metrics: metrics, client: c, checkStore: checkStore,
+		log: cfg.Logger, metrics: metrics, client: c, checkStore: checkStore, passSlice: passSlice,
 		ring:     ringer.New[event](eventRing),
 		machine:  scatterer.New(cfg.Settings.scatterer(), servers),
 		servers:  servers,
@@ -178,9 +186,21 @@
 	case *arrival:
 		e.requests[item.id] = item
 		e.answers[item.id] = make(map[uint64]*Answer)
-		e.act(e.machine.Step(now, &scatterer.Arrived{Request: item.id, Route: item.route, Left: item.call.Left, Spent: item.spent, SentOnce: item.sentOnce}))
+		e.act(e.machine.Step(now, &scatterer.Arrived{Request: item.id, Route: item.route, Left: item.call.Left, Spent: item.spent, SentOnce: item.sentOnce, Slice: item.slice}))
 	case ending:
-		e.ended(now, item)
+		end := e.ended(item)
+		if end != nil {
+			e.act(e.machine.Step(now, end))
+		}
+	case sliceEnding:
+		slice := &scatterer.SliceEnded{}
+		for _, part := range item.ends {
+			end := e.ended(part)
+			if end != nil {
+				slice.Ends = append(slice.Ends, end)
+			}
+		}
+		e.act(e.machine.Step(now, slice))
 	case abandonment:
 		e.abandoned(now, item)
 	case *listing:
@@ -194,10 +214,12 @@
 	}
 }
 
-func (e *engine) ended(now time.Time, item ending) {
+// ended takes the answer of an attempt and returns its event, or nil if nobody
+// waits for it.
+func (e *engine) ended(item ending) *scatterer.Ended {
 	s, ok := e.sendings[item.attempt]
 	if !ok {
-		return
+		return nil
 	}
 	s.cancel()
 	delete(e.sendings, item.attempt)
@@ -205,14 +227,17 @@
 	e.metrics.attempt(a.Code)
 	r := e.requests[s.request]
 	if r == nil {
-		return
+		return nil
 	}
 	e.answers[s.request][item.attempt] = a
 	if a.Code != classifier.OK {
 		e.log.Info(logger.AttemptFailed, "request", r.call.ID, "server", s.server.ID,
 			"domain", s.server.Domain, "result", a.Code, "status", a.Status, "error", a.Err)
 	}
-	e.act(e.machine.Step(now, &scatterer.Ended{Attempt: item.attempt, Code: a.Code, Final: a.Final, Closed: errors.Is(a.Err, syscall.ECONNREFUSED), Load: a.Load}))
+	return &scatterer.Ended{
+		Attempt: item.attempt, Code: a.Code, Final: a.Final,
+		Closed: errors.Is(a.Err, syscall.ECONNREFUSED), Exhausted: a.Exhausted, Load: a.Load,
+	}
 }
 
 func (e *engine) abandoned(now time.Time, item abandonment) {
@@ -231,6 +256,8 @@
 		switch a := action.(type) {
 		case *scatterer.Send:
 			e.send(a)
+		case *scatterer.SendSlice:
+			e.sendSlice(a)
 		case *scatterer.Cancel:
 			s, ok := e.sendings[a.Attempt]
 			if ok {
@@ -262,6 +289,31 @@
 	})
 }
 
+// sendSlice sends several parts as one; it is cancelled once none of them is wanted.
+func (e *engine) sendSlice(a *scatterer.SendSlice) {
+	r := e.requests[a.Request]
+	ctx, cancel := context.WithDeadline(e.ctx, a.Deadline)
+	open := len(a.Attempts)
+	there := &lister.Server{Domain: a.Domain}
+	for _, id := range a.Attempts {
+		e.metrics.sent(scatterer.ReasonFirst)
+		e.sendings[id] = sending{request: a.Request, server: there, cancel: sync.OnceFunc(func() {
+			open--
+			if open == 0 {
+				cancel()
+			}
+		})}
+	}
+	e.exchanges.Go(func() {
+		defer cancel()
+		var slice sliceEnding
+		for i, answer := range e.passSlice(ctx, r, a) {
+			slice.ends = append(slice.ends, ending{attempt: a.Attempts[i], answer: answer})
+		}
+		e.push(slice)
+	})
+}
+
 func (e *engine) complete(a *scatterer.Complete) {
 	r := e.requests[a.Request]
 	answers := make([]*Answer, len(a.Attempts))
@@ -272,7 +324,9 @@
 			covered++
 		}
 	}
-	e.metrics.answered(r.route, a.Took, covered == len(answers))
+	if !r.slice {
+		e.metrics.answered(r.route, a.Took, covered == len(answers))
+	}
 	e.completed++
 	if covered < len(answers) || e.completed%sampleEvery == 0 {
 		e.log.Info(logger.RequestAnswered, "request", r.call.ID, "route", r.route.Name, "version", r.version,
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -91,7 +91,7 @@
 	f.store.Store(&openStore{cfg.OpenStore(cfg.Settings.Store), cfg.Settings.Store})
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
-	f.engine = newEngine(cfg, f.metrics, f.client, func() { f.checkStore(ctx) })
+	f.engine = newEngine(cfg, f.metrics, f.client, func() { f.checkStore(ctx) }, f.passSlice)
 	err := f.listen()
 	if err != nil {
 		f.Close()
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -79,6 +79,8 @@
 	a.id = f.lastRequest.Add(1)
 	header := r.Header.Clone()
 	removeConnectionHeaders(header)
+	header.Del(sliceHeader)
+	header.Del(neededHeader)
 	_, ok = header["User-Agent"]
 	if !ok {
 		header["User-Agent"] = nil
@@ -151,6 +153,10 @@
 		return
 	}
 	sharded, ok := a.route.Target.(*matcher.Sharded)
+	if ok && a.slice {
+		f.writeSlice(w, sharded, end.answers)
+		return
+	}
 	if ok {
 		f.writeMerged(w, sharded, end.answers)
 		return
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -36,6 +36,9 @@
 	latencyMemory = 1500 * time.Millisecond
 	// reportLife is a few times the usual work, in which a queue drains.
 	reportLife = 60 * time.Millisecond
+	// sliceParts is the least number of shards of another failure domain that a
+	// host there gathers: with fewer the call between hosts costs more than it saves.
+	sliceParts = 3
 	// retention is the time within which lapsed entries are back after the store returns.
 	retention = 2 * time.Second
 	// StoreCallTimeout is some hundred times the usual answer time of the store,
@@ -153,5 +156,6 @@
 		ExtraRatio:    extraReserve * s.Extra.Ratio,
 		ExtraBurst:    extraReserve * s.Extra.Burst,
 		Hosts:         unknownHosts,
+		SliceParts:    sliceParts,
 	}
 }
--- /dev/null
+++ b/internal/forwarder/slice.go
@@ -0,0 +1,220 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/placer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
+)
+
+const (
+	// sliceHeader names the parts of a query that another host is to gather, by
+	// their places in the route; in an answer, those that it covers.
+	sliceHeader = "X-Rhubarbpost-Slice"
+	// neededHeader is how many of them the query can't do without.
+	neededHeader = "X-Rhubarbpost-Needed"
+	// proofHeader has one line with the proof of each part covered.
+	proofHeader = "X-Rhubarbpost-Proof"
+	// sliceWay is kept of the objective for the way of a slice: what handOverWay
+	// keeps, and the time to merge it with the other parts.
+	sliceWay = 5 * time.Millisecond
+	// sliceReceipt is how long the receipt of a slice may take, some twenty times
+	// the way there and back; without it the host is taken to be stopped or cut off.
+	sliceReceipt = 30 * time.Millisecond
+)
+
+var (
+	errNoReceipt = errors.New("no receipt")
+	errNoHost    = errors.New("no host of the failure domain is known to serve")
+)
+
+// passSlice has a host of another failure domain gather the parts of a slice
+// and returns an answer for each.
+func (f *Forwarder) passSlice(ctx context.Context, r *arrival, s *scatterer.SendSlice) []*Answer {
+	target, ok := r.route.Target.(*matcher.Sharded)
+	if !ok {
+		return sliceFailed(s, &Answer{Code: classifier.NotSent, Err: errNotGathered})
+	}
+	host := f.delegate.chooseIn(s.Domain, f.connections(target), r.route.Objective)
+	if host == nil {
+		return sliceFailed(s, &Answer{Code: classifier.NotSent, Err: errNoHost})
+	}
+	sent := time.Now()
+	answers, err := f.exchangeSlice(ctx, r, s, host)
+	outcome := placer.Answered
+	switch {
+	case errors.Is(err, errNoReceipt), errors.Is(ctx.Err(), context.DeadlineExceeded):
+		outcome = placer.Silent
+	case ctx.Err() != nil:
+		outcome = placer.Withdrawn
+	case err != nil:
+		outcome = placer.Failed
+	}
+	f.delegate.ended(host.ID, sent, outcome, r.route.Objective)
+	f.metrics.handedOver(err)
+	if err == nil {
+		return answers
+	}
+	if ctx.Err() != nil {
+		return sliceFailed(s, &Answer{Code: classifier.CodeOf(ctx.Err(), classifier.Canceled), Err: err})
+	}
+	f.cfg.Logger.Info(logger.HandOverFailed, "request", r.call.ID, "gatherer", host.ID, "domain", s.Domain,
+		"parts", len(s.Parts), "error", err, "tookMillis", time.Since(sent).Milliseconds())
+	code := classifier.NotSent
+	if mayHaveGathered(err) {
+		code = classifier.ServerFailed
+	}
+	return sliceFailed(s, &Answer{Code: code, Err: err})
+}
+
+func sliceFailed(s *scatterer.SendSlice, a *Answer) []*Answer {
+	answers := make([]*Answer, len(s.Parts))
+	for i := range answers {
+		answers[i] = a
+	}
+	return answers
+}
+
+// exchangeSlice sends a slice and reads the answer; the other host confirms the
+// receipt before it begins.
+func (f *Forwarder) exchangeSlice(ctx context.Context, r *arrival, s *scatterer.SendSlice, host *lister.Server) ([]*Answer, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var received atomic.Bool
+	overdue := time.AfterFunc(sliceReceipt, func() {
+		if !received.Load() {
+			cancel(errNoReceipt)
+		}
+	})
+	defer overdue.Stop()
+	out := r.outbound
+	out.header = out.header.Clone()
+	out.header.Set(handOverHeader, strconv.FormatUint(r.version, 10))
+	out.header.Set(sliceHeader, joinInts(s.Parts))
+	out.header.Set(neededHeader, strconv.Itoa(s.Needed))
+	response, err := f.delegate.transport.RoundTrip(out.request(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+			received.Store(true)
+			return nil
+		},
+	}), host))
+	if err != nil {
+		return nil, errors.Join(context.Cause(ctx), err)
+	}
+	received.Store(true)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	switch {
+	case err != nil:
+		return nil, errors.Join(context.Cause(ctx), err)
+	case response.StatusCode == http.StatusMisdirectedRequest:
+		return nil, errNotGathered
+	case response.StatusCode != http.StatusOK:
+		// The other host has tried and says what came of it.
+		return sliceFailed(s, &Answer{Code: classifier.ServerFailed, Exhausted: true}), nil
+	}
+	return readSlice(s, response.Header, body)
+}
+
+// readSlice returns the answers of the parts that a gathered slice covers; the
+// rows of all of them come with the first.
+func readSlice(s *scatterer.SendSlice, h http.Header, body []byte) ([]*Answer, error) {
+	covered, err := splitInts(h.Get(sliceHeader), len(s.Parts))
+	if err != nil {
+		return nil, err
+	}
+	proofs := h.Values(proofHeader)
+	if len(proofs) != len(covered) {
+		return nil, fmt.Errorf("%d proofs of %d parts", len(proofs), len(covered))
+	}
+	answers := sliceFailed(s, &Answer{Code: classifier.DeadlineExceeded, Exhausted: true})
+	for i, place := range covered {
+		answers[place] = &Answer{Code: classifier.OK, Proof: proofs[i]}
+		if i == 0 {
+			answers[place].Body = body
+		}
+	}
+	return answers, nil
+}
+
+// gatherSlice serves the parts of a query that another host has asked for; the
+// places of parts say something only by the same version.
+func (f *Forwarder) gatherSlice(w http.ResponseWriter, r *http.Request, a *arrival, wanted string, sameVersion bool) {
+	target, ok := a.route.Target.(*matcher.Sharded)
+	if !ok || !sameVersion {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	places, err := splitInts(wanted, len(target.Services))
+	needed, neededErr := strconv.Atoi(r.Header.Get(neededHeader))
+	if err != nil || neededErr != nil || len(places) == 0 {
+		http.Error(w, "slice "+wanted, http.StatusBadRequest)
+		return
+	}
+	part := &matcher.Sharded{Rows: target.Rows, MinCoverage: float64(needed) / float64(len(places))}
+	for _, place := range places {
+		part.Services = append(part.Services, target.Services[place])
+	}
+	route := *a.route
+	route.Target = part
+	a.route, a.slice, a.spent = &route, true, sliceWay
+	w.WriteHeader(http.StatusProcessing)
+	f.run(w, r, a)
+}
+
+// writeSlice answers a slice: the greatest rows of its parts, which it covers,
+// and their proofs.
+func (f *Forwarder) writeSlice(w http.ResponseWriter, target *matcher.Sharded, answers []*Answer) {
+	var covered []int
+	var bodies [][]byte
+	for place, a := range answers {
+		if a != nil {
+			covered = append(covered, place)
+			bodies = append(bodies, a.Body)
+			w.Header().Add(proofHeader, a.Proof)
+		}
+	}
+	body := f.cfg.Merger.Merge(bodies, target.Rows)
+	w.Header().Set(sliceHeader, joinInts(covered))
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write(body)
+}
+
+func joinInts(list []int) string {
+	texts := make([]string, len(list))
+	for i, n := range list {
+		texts[i] = strconv.Itoa(n)
+	}
+	return strings.Join(texts, ",")
+}
+
+// splitInts reads places below a limit, each once and in their order.
+func splitInts(text string, limit int) ([]int, error) {
+	var list []int
+	last := -1
+	for field := range strings.SplitSeq(text, ",") {
+		n, err := strconv.Atoi(field)
+		if err != nil || n <= last || n >= limit {
+			return nil, fmt.Errorf("places %q of %d parts", text, limit)
+		}
+		list = append(list, n)
+		last = n
+	}
+	return list, nil
+}
--- a/internal/forwarder/types.go
+++ b/internal/forwarder/types.go
@@ -34,6 +34,8 @@
 	Body   []byte
 	// Err is why there is no answer.
 	Err error
+	// Exhausted says that another host has used the attempts of the part.
+	Exhausted bool
 }
 
 // Dialect translates between the headers of a platform and the product's terms.
--- a/pkg/coordination/delegator/delegator.go
+++ b/pkg/coordination/delegator/delegator.go
@@ -46,19 +46,33 @@
 	if connections == 0 || len(hosts)*directConnections <= connections {
 		return Plan{Direct: true}
 	}
-	domains := make(map[string]bool)
-	for _, host := range hosts {
-		domains[host.Domain] = true
-	}
 	own := ranked(self.Domain, hosts)
-	n := max(1, connections/gatherConnections/max(len(domains), 1))
-	gatherers := own[:min(n, len(own))]
+	gatherers := own[:min(gatherersIn(hosts, connections), len(own))]
 	if len(gatherers) == 0 || slices.ContainsFunc(gatherers, func(h Host) bool { return h.Name == self.Name }) {
 		return Plan{Direct: true}
 	}
 	return Plan{Gatherers: gatherers}
 }
 
+// Peers returns the hosts of a failure domain that gather the parts of queries
+// whose backend servers are there, for servers that take so many connections.
+func Peers(domain string, hosts []Host, connections int) []Host {
+	there := ranked(domain, hosts)
+	if connections == 0 || len(hosts)*directConnections <= connections {
+		return there
+	}
+	return there[:min(gatherersIn(hosts, connections), len(there))]
+}
+
+// gatherersIn returns how many hosts of each failure domain gather queries.
+func gatherersIn(hosts []Host, connections int) int {
+	domains := make(map[string]bool)
+	for _, host := range hosts {
+		domains[host.Domain] = true
+	}
+	return max(1, connections/gatherConnections/max(len(domains), 1))
+}
+
 // Watchers returns the hosts of a failure domain that follow the store for the
 // others there; small failure domains have none, and each host follows by itself.
 func Watchers(domain string, hosts []Host) []Host {
--- a/pkg/coordination/delegator/delegator_test.go
+++ b/pkg/coordination/delegator/delegator_test.go
@@ -69,6 +69,21 @@
 	is.Equal(kept, len(before)-1)
 }
 
+// TestPartsGoToHostsOfTheDomainOfTheirServers has all hosts of a small site
+// gather parts, and the gathering hosts of a large one.
+func TestPartsGoToHostsOfTheDomainOfTheirServers(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(Peers("b", site(3), 26)), 3)
+	is.Equal(len(Peers("x", site(3), 26)), 0)
+	hosts := site(27)
+	peers := Peers("b", hosts, 63)
+	is.Equal(len(peers), 2)
+	for _, peer := range peers {
+		is.Equal(peer.Domain, "b")
+		is.True(New(peer, hosts, 63).Direct)
+	}
+}
+
 func TestTwoHostsOfALargeDomainFollowTheStore(t *testing.T) {
 	is := is.New(t)
 	is.Equal(len(Watchers("a", site(directWatchers))), 0)
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -1,6 +1,7 @@
 package scatterer
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -42,6 +43,7 @@
 	id     uint64
 	flight *flight
 	part   int
+	// server is nil for a part of a slice, whose server another host chooses.
 	server *lister.Server
 	sent   time.Time
 	// recalled says that the attempt was cancelled and its end is awaited.
@@ -171,7 +173,13 @@
 	case *Arrived:
 		m.arrived(now, e)
 	case *Ended:
-		m.ended(now, e)
+		m.conclude(now, m.ended(now, e))
+	case *SliceEnded:
+		var f *flight
+		for _, end := range e.Ends {
+			f = cmp.Or(m.ended(now, end), f)
+		}
+		m.conclude(now, f)
 	case *Abandoned:
 		f := m.flights[e.Request]
 		if f != nil {
@@ -185,10 +193,6 @@
 
 func (m *Machine) arrived(now time.Time, e *Arrived) {
 	f := m.newFlight(now, e)
-	for i := range f.parts {
-		// Requests are counted for each service, whether or not they are sent.
-		m.budget(f.parts[i].service).Earn(1)
-	}
 	m.flights[f.id] = f
 	choices := make([]placer.Choice, len(f.parts))
 	sound := 0
@@ -198,22 +202,42 @@
 			sound++
 		}
 	}
+	var foreign *slice
+	if !e.Slice && !e.SentOnce {
+		foreign = m.planSlice(now, f, choices)
+	}
+	for i := range f.parts {
+		// Requests are counted for each service, whether or not they are sent;
+		// the host that gathers a slice counts its parts.
+		if !foreign.has(i) {
+			m.budget(f.parts[i].service).Earn(1)
+		}
+	}
 	if !f.reaches(sound) && !m.mayTry(now, f) {
 		m.refuse(now, f, classifier.NoServer)
 		return
 	}
-	if f.route.Repeatable && m.tooLate(now, f, choices) && !m.mayTry(now, f) {
+	if f.route.Repeatable && !e.Slice && m.tooLate(now, f, choices) && !m.mayTry(now, f) {
 		m.refuse(now, f, classifier.Overloaded)
 		return
 	}
+	m.sendAll(now, f, choices, foreign)
+	m.conclude(now, f)
+}
+
+// sendAll sends the first attempts of a request, those of a slice as one.
+func (m *Machine) sendAll(now time.Time, f *flight, choices []placer.Choice, foreign *slice) {
 	for i := range f.parts {
-		if choices[i].Server == nil {
+		switch {
+		case choices[i].Server == nil:
 			m.settle(f, &f.parts[i], classifier.NoServer)
-			continue
+		case !foreign.has(i):
+			m.send(now, f, i, choices[i], ReasonFirst)
 		}
-		m.send(now, f, i, choices[i], ReasonFirst)
 	}
-	m.conclude(now, f)
+	if foreign != nil {
+		m.sendSlice(now, f, foreign)
+	}
 }
 
 // reaches reports whether a number of parts is enough for an answer.
@@ -357,10 +381,12 @@
 	})
 }
 
-func (m *Machine) ended(now time.Time, e *Ended) {
+// ended takes the end of an attempt and returns its request, or nil if that
+// makes no difference to it.
+func (m *Machine) ended(now time.Time, e *Ended) *flight {
 	a := m.attempts[e.Attempt]
 	if a == nil {
-		return
+		return nil
 	}
 	f := a.flight
 	p := &f.parts[a.part]
@@ -376,14 +402,18 @@
 	switch {
 	case f.ending != 0 && e.Code != classifier.OK:
 	case p.settled:
-		return
+		return nil
+	case e.Code == classifier.OK && a.server == nil:
+		m.answer(now, f, p, a.id)
+	case e.Exhausted:
+		m.exhausted(f, p, e.Code)
 	case e.Code == classifier.OK:
 		f.stats.observe(now.Sub(a.sent))
 		m.answer(now, f, p, a.id)
 	default:
 		m.failed(now, f, a, e)
 	}
-	m.conclude(now, f)
+	return f
 }
 
 func outcomeOf(e *Ended) placer.Outcome {
@@ -416,6 +446,9 @@
 			break
 		}
 	}
+	if a.server == nil {
+		return
+	}
 	m.placer.Ended(now, a.server.ID, a.sent, placer.Result{
 		Outcome: outcome, Latency: now.Sub(a.sent), Work: time.Duration(a.flight.stats.work), Load: load,
 	})
@@ -486,6 +519,9 @@
 
 // conclude ends a request that has all it can get, or sets its next alarm.
 func (m *Machine) conclude(now time.Time, f *flight) {
+	if f == nil {
+		return
+	}
 	total := len(f.parts)
 	enough := f.reaches(f.covered)
 	lost := !f.reaches(total - (f.settled - f.covered))
@@ -539,7 +575,7 @@
 	}
 	for i := range f.parts {
 		p := &f.parts[i]
-		if p.settled || len(p.open) != 1 || p.runs >= f.route.Attempts {
+		if p.settled || len(p.open) != 1 || p.inSlice() || p.runs >= f.route.Attempts {
 			continue
 		}
 		choice, ok := m.choose(now, f, p)
--- a/pkg/coordination/scatterer/scatterer_test.go
+++ b/pkg/coordination/scatterer/scatterer_test.go
@@ -311,6 +311,96 @@
 	is.Equal(len(of[*Send](end(m, start.Add(objective/2), sends[0], classifier.ServerFailed))), 0)
 }
 
+// twoDomains returns services with one server in domain e and one in w each, but
+// those from the given one on, which have both in w.
+func twoDomains(services string, from int) directory {
+	d := newDirectory(services, 2)
+	for i, name := range services {
+		for n, server := range d[string(name)] {
+			server.Domain = "w"
+			if n == 0 && i < from {
+				server.Domain = "e"
+			}
+		}
+	}
+	return d
+}
+
+func sliceMachine(d Directory) *Machine {
+	return New(Config{
+		Placer:       placer.Config{Domain: "e", ForeignCost: 1, QueueCost: 2, Memory: time.Second},
+		AnswerMargin: margin, HedgeFraction: 0.25, ExtraRatio: 0.2, ExtraBurst: 50, Hosts: 1, SliceParts: 3,
+	}, d)
+}
+
+// TestPartsOfAnotherDomainGoAsOne has four of ten shards without a server in
+// the own domain; with two of them each goes by itself.
+func TestPartsOfAnotherDomainGoAsOne(t *testing.T) {
+	is := is.New(t)
+	actions := arrive(sliceMachine(twoDomains("abcdefghij", 6)), start, 1, sharded("abcdefghij", 0.8))
+	is.Equal(len(of[*Send](actions)), 6)
+	slice := of[*SendSlice](actions)[0]
+	is.Equal(slice.Parts, []int{6, 7, 8, 9})
+	is.Equal(slice.Domain, "w")
+	is.Equal(slice.Needed, 2) // of eight, if the other six are answered
+	actions = arrive(sliceMachine(twoDomains("abcdefghij", 8)), start, 1, sharded("abcdefghij", 0.8))
+	is.Equal(len(of[*Send](actions)), 10)
+	actions = clone(sliceMachine(twoDomains("abcd", 1)).Step(start, &Arrived{Request: 1, Route: sharded("abcd", 1), Left: patience, Slice: true}))
+	is.Equal(len(of[*Send](actions)), 4) // a slice has no slices
+}
+
+// TestSliceEndsAsOne has a slice with three of its four parts come in after the
+// time of the early answer, when the first of them would be enough to answer.
+func TestSliceEndsAsOne(t *testing.T) {
+	is := is.New(t)
+	m := sliceMachine(twoDomains("abcdefghij", 6))
+	actions := arrive(m, start, 1, sharded("abcdefghij", 0.7))
+	slice := of[*SendSlice](actions)[0]
+	for _, send := range of[*Send](actions) {
+		end(m, start, send, classifier.OK)
+	}
+	is.Equal(len(of[*Send](clone(m.Step(start.Add(objective/4), &Woken{})))), 0) // the other host hedges
+	now := start.Add(objective)
+	is.Equal(len(of[*Complete](clone(m.Step(now, &Woken{})))), 0)
+	event := &SliceEnded{}
+	for i, attempt := range slice.Attempts {
+		e := &Ended{Attempt: attempt, Code: classifier.OK}
+		if i == 1 {
+			e.Code, e.Exhausted = classifier.DeadlineExceeded, true
+		}
+		event.Ends = append(event.Ends, e)
+	}
+	actions = clone(m.Step(now, event))
+	is.Equal(len(of[*Send](actions)), 0) // the attempts of the missing part are used
+	complete := of[*Complete](actions)[0]
+	covered := 0
+	for _, attempt := range complete.Attempts {
+		if attempt != 0 {
+			covered++
+		}
+	}
+	is.Equal(covered, 9)
+	is.Equal(complete.Missing[0].Service, "h")
+	is.Equal(m.Len(), 0)
+}
+
+// TestSliceThatWasNotReceivedIsSentByParts has no extra attempts to spend.
+func TestSliceThatWasNotReceivedIsSentByParts(t *testing.T) {
+	is := is.New(t)
+	m := sliceMachine(twoDomains("abcdefghij", 6))
+	m.SetExtra(0, 0)
+	slice := of[*SendSlice](arrive(m, start, 1, sharded("abcdefghij", 0.8)))[0]
+	event := &SliceEnded{}
+	for _, attempt := range slice.Attempts {
+		event.Ends = append(event.Ends, &Ended{Attempt: attempt, Code: classifier.NotSent})
+	}
+	sends := of[*Send](clone(m.Step(start, event)))
+	is.Equal(len(sends), 4)
+	for i, send := range sends {
+		is.Equal(send.Part, slice.Parts[i])
+	}
+}
+
 // TestRetryOfWhatReachedNoServerIsFree has no extra attempts to spend: a
 // request that reached no server goes to the next one all the same, one that a
 // server has refused doesn't, since that one has arrived.
--- a/pkg/coordination/scatterer/types.go
+++ b/pkg/coordination/scatterer/types.go
@@ -28,6 +28,9 @@
 	ExtraBurst float64
 	// Hosts is the number of hosts that share the extra attempts.
 	Hosts int
+	// SliceParts is the least number of parts that are sent as one to a host of
+	// the failure domain that has their servers; 0 sends each by itself.
+	SliceParts int
 }
 
 // Directory names the backend servers of a service that may get new work.
@@ -49,6 +52,9 @@
 	Spent time.Duration
 	// SentOnce says that each part may have been at a server before.
 	SentOnce bool
+	// Slice says that the request is a slice of another host, which may have no
+	// slices and is never refused for being late.
+	Slice bool
 }
 
 // Ended ends one attempt.
@@ -61,7 +67,15 @@
 	Final bool
 	// Closed says that nothing listens at the server's address.
 	Closed bool
-	Load   *placer.Load
+	// Exhausted says that another host has used the attempts of the part.
+	Exhausted bool
+	Load      *placer.Load
+}
+
+// SliceEnded ends the attempts of a slice at once: its rows come merged, so that
+// no answer may hold some of its parts without the others.
+type SliceEnded struct {
+	Ends []*Ended
 }
 
 // Abandoned says that the caller has gone.
@@ -72,10 +86,11 @@
 // Woken says that the time which Wake named has come.
 type Woken struct{}
 
-func (*Arrived) scattererEvent()   {}
-func (*Ended) scattererEvent()     {}
-func (*Abandoned) scattererEvent() {}
-func (*Woken) scattererEvent()     {}
+func (*Arrived) scattererEvent()    {}
+func (*Ended) scattererEvent()      {}
+func (*SliceEnded) scattererEvent() {}
+func (*Abandoned) scattererEvent()  {}
+func (*Woken) scattererEvent()      {}
 
 // Reason says why an attempt is sent.
 type Reason string
@@ -102,6 +117,18 @@
 	Deadline time.Time
 }
 
+// SendSlice asks a host of another failure domain for several parts at once.
+type SendSlice struct {
+	Request uint64
+	// Attempts are those of the Parts, in the same order; each one ends by itself.
+	Attempts []uint64
+	Parts    []int
+	Domain   string
+	// Needed is how many of the parts the request can't do without.
+	Needed   int
+	Deadline time.Time
+}
+
 // Cancel ends an attempt whose answer is no longer of use.
 type Cancel struct {
 	Attempt uint64
@@ -135,7 +162,8 @@
 	Took    time.Duration
 }
 
-func (*Send) scattererAction()     {}
-func (*Cancel) scattererAction()   {}
-func (*Complete) scattererAction() {}
-func (*Refuse) scattererAction()   {}
+func (*SendSlice) scattererAction() {}
+func (*Send) scattererAction()      {}
+func (*Cancel) scattererAction()    {}
+func (*Complete) scattererAction()  {}
+func (*Refuse) scattererAction()    {}
