internal/lab/starter: the soak has links that are slow, cut one way, silent or reset

Hosts are in two failure domains now, so that slices are played too, and the store also delays, loses answers and gives stale reads.

--- a/internal/lab/starter/soak_test.go
+++ b/internal/lab/starter/soak_test.go
@@ -36,15 +36,21 @@
 	soakHost    = "shop.example"
 )
 
+// soakShards are the services of a query; the last three have servers in one
+// failure domain only, so that hosts of the other have them gathered there.
+var soakShards = []string{"a", "b", "d", "e", "f"}
+
 // soak is a site of real host processes with callers, under faults from outside.
 type soak struct {
 	t       *testing.T
 	random  *rand.Rand
 	store   *standin.Store
 	servers map[string]*standin.Server
-	files   []string
-	ports   []int
-	hosts   []*Process
+	// links are those of each host to the store, and of all hosts to each server.
+	links []*proxy
+	files []string
+	ports []int
+	hosts []*Process
 
 	mu sync.Mutex
 	// orders holds what callers were told of each order.
@@ -79,9 +85,13 @@
 		servers: make(map[string]*standin.Server), orders: make(map[string]int),
 	}
 	t.Cleanup(s.store.Close)
-	for i, service := range []string{"a", "a", "b", "b", "c", "c", "c"} {
+	for i, service := range []string{"a", "a", "b", "b", "c", "c", "c", "d", "e", "f"} {
 		id := fmt.Sprint(service, i)
-		server, err := standin.NewServer(id, service, "d1")
+		domain := "d1"
+		if service > "c" {
+			domain = "d2"
+		}
+		server, err := standin.NewServer(id, service, domain)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -90,10 +100,15 @@
 			server.Rows = []uint64{uint64(i + 1), uint64(i + 10)}
 		}
 		s.servers[id] = server
-		s.store.Put("servers", id, server.Entry("ready"))
+		link := newProxy(t, server.Address())
+		s.links = append(s.links, link)
+		entry := server.Entry("ready")
+		entry["address"] = link.address()
+		s.store.Put("servers", id, entry)
 	}
 	s.configure(1)
 	for i := range soakHosts {
+		s.links = append(s.links, newProxy(t, s.store.Address()))
 		port := freeBlock(t)
 		s.ports = append(s.ports, port)
 		s.files = append(s.files, filepath.Join(t.TempDir(), fmt.Sprint("host", i, ".jsonc")))
@@ -115,7 +130,7 @@
 		return own
 	}
 	s.store.Put("config", "main", map[string]any{"version": version, "services": []any{}, "routes": []any{
-		route(map[string]any{"name": "q", "path_prefix": "/q/", "kind": "idempotent", "gather": []string{"a", "b"}, "top_k": 3, "min_coverage": 0.5}),
+		route(map[string]any{"name": "q", "path_prefix": "/q/", "kind": "idempotent", "gather": soakShards, "top_k": 3, "min_coverage": 0.5}),
 		route(map[string]any{"name": "o", "path_prefix": "/o/", "kind": "non_idempotent", "service": "c"}),
 		route(map[string]any{"name": "s", "path_prefix": "/s/", "kind": "idempotent", "service": "c"}),
 	}})
@@ -123,11 +138,11 @@
 
 func (s *soak) writeSettings(i, burst int) {
 	port := s.ports[i]
-	text := fmt.Sprintf(`{"name": "h%d", "domain": "d1", "capacity": 1, "listen": {"callers": "127.0.0.1:%d",
+	text := fmt.Sprintf(`{"name": "h%d", "domain": "d%d", "capacity": 1, "listen": {"callers": "127.0.0.1:%d",
 		"readiness": "127.0.0.1:%d", "control": "127.0.0.1:%d", "metrics": "127.0.0.1:%d"}, "seeds": ["127.0.0.1:%d"],
 		"store": %q, "extra": {"ratio": 0.2, "burst": %d}, "grace": "6s",
 		"log": {"level": "info", "format": "json", "bytesPerSecond": 65536}}`,
-		i, port, port+1, port+2, port+3, s.ports[0]+2, s.store.Address(), burst)
+		i, 1+i%2, port, port+1, port+2, port+3, s.ports[0]+2, s.links[len(s.servers)+i].address(), burst)
 	err := os.WriteFile(s.files[i], []byte(text), 0o600)
 	if err != nil {
 		s.t.Error(err)
@@ -164,7 +179,7 @@
 			}
 		})
 		server := s.servers[ids[s.random.IntN(len(ids))]]
-		switch s.random.IntN(9) {
+		switch s.random.IntN(11) {
 		case 0:
 			s.hosts[i].Signal(s.t, syscall.SIGKILL)
 			s.hosts[i].Wait(s.t)
@@ -179,12 +194,19 @@
 			s.writeSettings(i, 20+s.random.IntN(50))
 			s.hosts[i].Signal(s.t, syscall.SIGHUP)
 		case 4:
-			s.store.SetFaults([]standin.StoreFaults{{Status: 503}, {Silent: true}, {Status: 429}, {Faults: provider.Faults{History: 1 << 40}}}[s.random.IntN(4)])
+			s.store.SetFaults([]standin.StoreFaults{
+				{Status: 503}, {Silent: true}, {Status: 429}, {Faults: provider.Faults{History: 1 << 40}},
+				{Faults: provider.Faults{DelayMillis: 400}}, {Faults: provider.Faults{LoseAnswers: 3}}, {Faults: provider.Faults{StaleReads: true}},
+			}[s.random.IntN(7)])
 		case 5:
 			s.store.SetFaults(standin.StoreFaults{})
 		case 6:
 			version++
 			s.configure(version)
+		case 7, 8:
+			s.links[s.random.IntN(len(s.links))].set([]linkState{
+				{}, {delay: 50 * time.Millisecond}, {silentTo: true}, {silentFrom: true}, {reset: true},
+			}[s.random.IntN(5)])
 		default:
 			server.Behave([]standin.Behaviour{
 				{}, {Extra: true}, {Extra: true, ExtraDelay: 2 * time.Millisecond}, {Reset: true}, {Truncate: true},
@@ -194,6 +216,9 @@
 		time.Sleep(time.Duration(s.random.IntN(200)) * time.Millisecond)
 	}
 	s.store.SetFaults(standin.StoreFaults{})
+	for _, link := range s.links {
+		link.set(linkState{})
+	}
 	for _, server := range s.servers {
 		server.Behave(standin.Behaviour{})
 	}
@@ -293,7 +318,7 @@
 	for _, row := range rows[:min(3, len(rows))] {
 		want = append(want, standin.Record(row)...)
 	}
-	missing := strconv.Itoa(2 - len(services))
+	missing := strconv.Itoa(len(soakShards) - len(services))
 	if !bytes.Equal(body, want) || response.Header.Get("X-Missing-Parts") != missing {
 		s.fault("%s: %d rows of %v, missing %s", id, len(body)/16, services, response.Header.Get("X-Missing-Parts"))
 	}
