internal/forwarder: a host that stops or is cut off gathers nothing for others

Cause: a stopping host took slices and whole queries from others until its control port closed in the middle of them; its peers then sent the parts again out of the extra attempts. Now it answers 421 from the start of its notice, and the parts go out by themselves at no cost.

--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -115,7 +115,7 @@
 	d.transport.CloseIdleConnections()
 }
 
-var errNotGathered = errors.New("the host has no such route, or an older configuration")
+var errNotGathered = errors.New("the host has no such route, or an older configuration, or stops")
 
 // handOver lets a gathering host serve a query and reports whether it did; if
 // not, nothing has been written and this host serves it.
@@ -243,11 +243,12 @@
 }
 
 // gather serves a query that another host has handed over, unless that host
-// knows better: its configuration is newer, or this one has none for the query.
+// knows better: its configuration is newer, or this one has none for the query,
+// stops or is cut off.
 func (f *Forwarder) gather(w http.ResponseWriter, r *http.Request, version string) {
 	a, failure := f.accept(w, r)
 	theirs, err := strconv.ParseUint(version, 10, 64)
-	if failure != nil || err != nil || a.version < theirs {
+	if failure != nil || err != nil || a.version < theirs || !f.Ready() {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
