pkg/coordination/scatterer: no slices under overload

Change: slices only while all that an answer needs is expected within 0.3 of the time to the objective.

--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -39,6 +39,9 @@
 	// sliceParts is the least number of shards of another failure domain that a
 	// host there gathers: with fewer the call between hosts costs more than it saves.
 	sliceParts = 3
+	// sliceFactor leaves slices to times in which servers are expected to answer
+	// before a late shard would get its second attempt.
+	sliceFactor = 0.3
 	// retention is the time within which lapsed entries are back after the store returns.
 	retention = 2 * time.Second
 	// StoreCallTimeout is some hundred times the usual answer time of the store,
@@ -157,5 +160,6 @@
 		ExtraBurst:    extraReserve * s.Extra.Burst,
 		Hosts:         unknownHosts,
 		SliceParts:    sliceParts,
+		SliceFactor:   sliceFactor,
 	}
 }
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -249,8 +249,13 @@
 // after the objective that the request would only delay others. One request now
 // and then is sent all the same, so that the estimate can recover.
 func (m *Machine) tooLate(now time.Time, f *flight, choices []placer.Choice) bool {
-	left := f.answerBy.Sub(now)
-	if m.cfg.LateFactor == 0 || left <= 0 {
+	return m.cfg.LateFactor > 0 && f.expectedAfter(choices, m.cfg.LateFactor*float64(f.answerBy.Sub(now)))
+}
+
+// expectedAfter reports whether the parts that an answer needs are expected
+// after some time, which means nothing if it isn't positive.
+func (f *flight) expectedAfter(choices []placer.Choice, limit float64) bool {
+	if limit <= 0 {
 		return false
 	}
 	expected := make([]time.Duration, 0, len(choices))
@@ -264,7 +269,7 @@
 		return false
 	}
 	slices.Sort(expected)
-	return expected[needed-1] > time.Duration(m.cfg.LateFactor*float64(left))
+	return float64(expected[needed-1]) > limit
 }
 
 // mayTry reports whether a request that seems hopeless is sent all the same,
--- a/pkg/coordination/scatterer/scatterer_test.go
+++ b/pkg/coordination/scatterer/scatterer_test.go
@@ -329,7 +329,7 @@
 func sliceMachine(d Directory) *Machine {
 	return New(Config{
 		Placer:       placer.Config{Domain: "e", ForeignCost: 1, QueueCost: 2, Memory: time.Second},
-		AnswerMargin: margin, HedgeFraction: 0.25, ExtraRatio: 0.2, ExtraBurst: 50, Hosts: 1, SliceParts: 3,
+		AnswerMargin: margin, HedgeFraction: 0.25, ExtraRatio: 0.2, ExtraBurst: 50, Hosts: 1, SliceParts: 3, SliceFactor: 0.3,
 	}, d)
 }
 
@@ -349,6 +349,27 @@
 	is.Equal(len(of[*Send](actions)), 4) // a slice has no slices
 }
 
+// TestNoSlicesUnderOverload has all servers answer late: then the host sees
+// them all by itself.
+func TestNoSlicesUnderOverload(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory("abcdefghij", 1)
+	for i, name := range "abcdefghij" {
+		d[string(name)][0].Domain = string("eeeeeewwww"[i])
+	}
+	m := sliceMachine(d)
+	route := sharded("abcdefghij", 0.8)
+	actions := arrive(m, start, 1, route)
+	is.Equal(len(of[*SendSlice](actions)), 1)
+	now := start.Add(timeout / 2)
+	for _, send := range of[*Send](actions) {
+		end(m, now, send, classifier.OK)
+	}
+	is.Equal(len(of[*Send](arrive(m, now, 2, route))), 10)
+	now = now.Add(2 * time.Second) // what was seen is forgotten
+	is.Equal(len(of[*SendSlice](arrive(m, now, 3, route))), 1)
+}
+
 // TestSliceEndsAsOne has a slice with three of its four parts come in after the
 // time of the early answer, when the first of them would be enough to answer.
 func TestSliceEndsAsOne(t *testing.T) {
--- a/pkg/coordination/scatterer/slices.go
+++ b/pkg/coordination/scatterer/slices.go
@@ -25,9 +25,11 @@
 
 // planSlice returns the parts of a request whose server would be in another
 // failure domain, as far as one such domain has servers for them; nil if these
-// are too few to be worth a call of their own.
+// are too few to be worth a call of their own. Under overload there are no
+// slices: a host must see the queues of all servers to refuse in time.
 func (m *Machine) planSlice(now time.Time, f *flight, choices []placer.Choice) *slice {
-	if m.cfg.SliceParts == 0 || !f.sharded || !f.route.Repeatable {
+	if m.cfg.SliceParts == 0 || !f.sharded || !f.route.Repeatable ||
+		f.expectedAfter(choices, m.cfg.SliceFactor*float64(f.answerBy.Sub(now))) {
 		return nil
 	}
 	counts := make(map[string]int)
--- a/pkg/coordination/scatterer/types.go
+++ b/pkg/coordination/scatterer/types.go
@@ -31,6 +31,9 @@
 	// SliceParts is the least number of parts that are sent as one to a host of
 	// the failure domain that has their servers; 0 sends each by itself.
 	SliceParts int
+	// SliceFactor is the part of the time left to the objective within which all
+	// that an answer needs must be expected for that.
+	SliceFactor float64
 }
 
 // Directory names the backend servers of a service that may get new work.
