--- a/internal/lab/provider/store.go
+++ b/internal/lab/provider/store.go
@@ -155,9 +155,19 @@
 	return err
 }
 
+// change does a client's write, whose answer may be lost.
 func (s *Store) change(object storer.Object, version uint64) (storer.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	object, err := s.write(object, version)
+	if err == nil && s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		return storer.Object{}, storer.ErrUnsettled
+	}
+	return object, err
+}
+
+func (s *Store) write(object storer.Object, version uint64) (storer.Object, error) {
 	held, ok := s.objects[object.Key]
 	exists := ok && !held.Deleted
 	if exists != (version != storer.Absent) || (exists && held.Version != version) {
@@ -172,10 +182,6 @@
 	s.history = append(s.history, object)
 	close(s.changed)
 	s.changed = make(chan struct{})
-	if s.faults.LoseAnswers > 0 {
-		s.faults.LoseAnswers--
-		return storer.Object{}, storer.ErrUnsettled
-	}
 	return object, nil
 }
 
@@ -183,23 +189,31 @@
 func (s *Store) Newest(key string) (storer.Object, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	object, ok := s.objects[key]
+	object := s.newest(key)
+	return object, object.Version != storer.Absent
+}
+
+// newest returns the object of a key, with the version storer.Absent if there is none.
+func (s *Store) newest(key string) storer.Object {
+	object := s.objects[key]
 	if object.Deleted {
-		return storer.Object{}, false
+		return storer.Object{}
 	}
-	return object, ok
+	return object
 }
 
 // Overwrite writes a value whatever the version of the object.
 func (s *Store) Overwrite(key string, value []byte) (storer.Object, error) {
-	held, _ := s.Newest(key)
-	return s.change(storer.Object{Key: key, Value: value}, held.Version)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.write(storer.Object{Key: key, Value: value}, s.newest(key).Version)
 }
 
 // Remove deletes an object whatever its version.
 func (s *Store) Remove(key string) error {
-	held, _ := s.Newest(key)
-	_, err := s.change(storer.Object{Key: key, Deleted: true}, held.Version)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, err := s.write(storer.Object{Key: key, Deleted: true}, s.newest(key).Version)
 	return err
 }
 
