pkg/coordination/scatterer, watcher: read again, nothing changes

The expected time of an answer was computed and sorted twice for each query, the number of parts needed in three places, and the books of an attempt were opened in two. Each has one function now. Two methods with one short use and Source.Peers, which nothing called, are gone.

--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -202,8 +202,9 @@
 			sound++
 		}
 	}
+	expected, left := f.expected(choices), f.answerBy.Sub(now)
 	var foreign *slice
-	if !e.Slice && !e.SentOnce {
+	if !e.Slice && !e.SentOnce && !late(expected, left, m.cfg.SliceFactor) {
 		foreign = m.planSlice(now, f, choices)
 	}
 	for i := range f.parts {
@@ -217,7 +218,8 @@
 		m.refuse(now, f, classifier.NoServer)
 		return
 	}
-	if f.route.Repeatable && !e.Slice && m.tooLate(now, f, choices) && !m.mayTry(now, f) {
+	// A request that is expected long after its objective would only delay others.
+	if f.route.Repeatable && !e.Slice && late(expected, left, m.cfg.LateFactor) && !m.mayTry(now, f) {
 		m.refuse(now, f, classifier.Overloaded)
 		return
 	}
@@ -240,40 +242,42 @@
 	}
 }
 
+// needed returns how many parts an answer must cover.
+func (f *flight) needed() int {
+	return int(math.Ceil(f.coverage*float64(len(f.parts)) - coverageSlack))
+}
+
 // reaches reports whether a number of parts is enough for an answer.
 func (f *flight) reaches(parts int) bool {
-	return parts > 0 && float64(parts) >= f.coverage*float64(len(f.parts))-coverageSlack
+	return parts > 0 && parts >= f.needed()
 }
 
-// tooLate reports whether the parts that an answer needs are expected so long
-// after the objective that the request would only delay others. One request now
-// and then is sent all the same, so that the estimate can recover.
-func (m *Machine) tooLate(now time.Time, f *flight, choices []placer.Choice) bool {
-	return m.cfg.LateFactor > 0 && f.expectedAfter(choices, m.cfg.LateFactor*float64(f.answerBy.Sub(now)))
+// late reports whether an answer is expected after some times what is left to
+// its objective; neither factor nor time left means anything if it isn't positive.
+func late(expected, left time.Duration, factor float64) bool {
+	return factor > 0 && left > 0 && float64(expected) > factor*float64(left)
 }
 
-// expectedAfter reports whether the parts that an answer needs are expected
-// after some time, which means nothing if it isn't positive.
-func (f *flight) expectedAfter(choices []placer.Choice, limit float64) bool {
-	if limit <= 0 {
-		return false
-	}
+// expected returns when the parts that an answer needs are expected, 0 if they
+// have no servers or none is needed.
+func (f *flight) expected(choices []placer.Choice) time.Duration {
 	expected := make([]time.Duration, 0, len(choices))
 	for _, choice := range choices {
 		if choice.Server != nil {
 			expected = append(expected, f.stats.expect(choice))
 		}
 	}
-	needed := int(math.Ceil(f.coverage*float64(len(choices)) - coverageSlack))
+	needed := f.needed()
 	if needed == 0 || needed > len(expected) {
-		return false
+		return 0
 	}
 	slices.Sort(expected)
-	return float64(expected[needed-1]) > limit
+	return expected[needed-1]
 }
 
 // mayTry reports whether a request that seems hopeless is sent all the same,
-// as one now and then must be to find that servers are back.
+// as one now and then must be to find that servers are back, and for the
+// estimate of their latency to recover.
 func (m *Machine) mayTry(now time.Time, f *flight) bool {
 	if now.Sub(f.stats.tried) < tryInterval {
 		return false
@@ -370,15 +374,22 @@
 	return m.placer.Choose(now, m.directory.Servers(p.service), p.tried, time.Duration(f.stats.work))
 }
 
-func (m *Machine) send(now time.Time, f *flight, i int, choice placer.Choice, reason Reason) {
+// open takes a new attempt into the books.
+func (m *Machine) open(now time.Time, f *flight, i int, server *lister.Server) *attempt {
 	p := &f.parts[i]
 	m.last++
-	a := &attempt{id: m.last, flight: f, part: i, server: choice.Server, sent: now}
+	a := &attempt{id: m.last, flight: f, part: i, server: server, sent: now}
 	m.attempts[a.id] = a
 	p.open = append(p.open, a)
-	p.tried = append(p.tried, choice.Server.ID)
 	p.runs++
 	p.arrivals++
+	return a
+}
+
+func (m *Machine) send(now time.Time, f *flight, i int, choice placer.Choice, reason Reason) {
+	p := &f.parts[i]
+	a := m.open(now, f, i, choice.Server)
+	p.tried = append(p.tried, choice.Server.ID)
 	m.placer.Sent(now, choice.Server)
 	m.out = append(m.out, &Send{
 		Request: f.id, Attempt: a.id, Part: i, Server: choice.Server, Reason: reason,
@@ -408,12 +419,12 @@
 	case f.ending != 0 && e.Code != classifier.OK:
 	case p.settled:
 		return nil
-	case e.Code == classifier.OK && a.server == nil:
-		m.answer(now, f, p, a.id)
 	case e.Exhausted:
-		m.exhausted(f, p, e.Code)
+		m.settle(f, p, e.Code)
 	case e.Code == classifier.OK:
-		f.stats.observe(now.Sub(a.sent))
+		if a.server != nil {
+			f.stats.observe(now.Sub(a.sent))
+		}
 		m.answer(now, f, p, a.id)
 	default:
 		m.failed(now, f, a, e)
@@ -580,7 +591,7 @@
 	}
 	for i := range f.parts {
 		p := &f.parts[i]
-		if p.settled || len(p.open) != 1 || p.inSlice() || p.runs >= f.route.Attempts {
+		if p.settled || len(p.open) != 1 || p.open[0].server == nil || p.runs >= f.route.Attempts {
 			continue
 		}
 		choice, ok := m.choose(now, f, p)
--- a/pkg/coordination/scatterer/slices.go
+++ b/pkg/coordination/scatterer/slices.go
@@ -1,12 +1,10 @@
 package scatterer
 
 import (
-	"math"
 	"slices"
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/placer"
-	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
 )
 
@@ -25,11 +23,10 @@
 
 // planSlice returns the parts of a request whose server would be in another
 // failure domain, as far as one such domain has servers for them; nil if these
-// are too few to be worth a call of their own. Under overload there are no
-// slices: a host must see the queues of all servers to refuse in time.
+// are too few to be worth a call of their own. It isn't asked for under overload:
+// a host must see the queues of all servers to refuse in time.
 func (m *Machine) planSlice(now time.Time, f *flight, choices []placer.Choice) *slice {
-	if m.cfg.SliceParts == 0 || !f.sharded || !f.route.Repeatable ||
-		f.expectedAfter(choices, m.cfg.SliceFactor*float64(f.answerBy.Sub(now))) {
+	if m.cfg.SliceParts == 0 || !f.sharded || !f.route.Repeatable {
 		return nil
 	}
 	counts := make(map[string]int)
@@ -79,31 +76,12 @@
 // answers early once the whole request can reach its coverage, and has all
 // attempts of the route for each part.
 func (m *Machine) sendSlice(now time.Time, f *flight, s *slice) {
-	needed := int(math.Ceil(f.coverage*float64(len(f.parts)) - coverageSlack))
 	out := &SendSlice{
 		Request: f.id, Parts: s.parts, Domain: s.domain, Deadline: f.deadline,
-		Needed: min(max(1, needed-s.others), len(s.parts)),
+		Needed: min(max(1, f.needed()-s.others), len(s.parts)),
 	}
 	for _, i := range s.parts {
-		p := &f.parts[i]
-		m.last++
-		a := &attempt{id: m.last, flight: f, part: i, sent: now}
-		m.attempts[a.id] = a
-		p.open = append(p.open, a)
-		p.runs++
-		p.arrivals++
-		out.Attempts = append(out.Attempts, a.id)
+		out.Attempts = append(out.Attempts, m.open(now, f, i, nil).id)
 	}
 	m.out = append(m.out, out)
 }
-
-// inSlice reports whether a part is in a slice that was sent and has not ended.
-func (p *part) inSlice() bool {
-	return slices.ContainsFunc(p.open, func(a *attempt) bool { return a.server == nil })
-}
-
-// exhausted ends a part whose attempts another host has used.
-func (m *Machine) exhausted(f *flight, p *part, code classifier.Code) {
-	p.code = code
-	m.settle(f, p, code)
-}
--- a/pkg/coordination/watcher/source.go
+++ b/pkg/coordination/watcher/source.go
@@ -47,8 +47,3 @@
 	}
 	return d
 }
-
-// Peers reports whether peers should be asked.
-func (s *Source) Peers() bool {
-	return s.peers
-}
