internal/forwarder: one exchange between hosts for queries and slices; hosts decoded when they change

Handing over a query and a slice each had their own exchange, outcome and log line, merged and sliced answers their own writer; they share them now. The receipt of a slice is its first byte: the interim answer needs no trace of its own, and the log says 'no receipt' once.

--- a/cmd/rhubarbpost/cmds/host.go
+++ b/cmd/rhubarbpost/cmds/host.go
@@ -81,11 +81,11 @@
 		}
 		f.Reload(next)
 	})
-	return stopHost(f, second)
+	return stopWithNotice(f.Stop, second)
 }
 
-// stopHost stops a host with notice; a second signal ends it at once.
-func stopHost(f *forwarder.Forwarder, second <-chan struct{}) error {
+// stopWithNotice stops what serves callers; a second signal ends it at once.
+func stopWithNotice(stop func(context.Context) error, second <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
@@ -95,7 +95,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	err := f.Stop(ctx)
+	err := stop(ctx)
 	if err != nil {
 		return &exitError{code: exiter.CutOff, cause: err}
 	}
--- a/cmd/rhubarbpost/cmds/processes.go
+++ b/cmd/rhubarbpost/cmds/processes.go
@@ -88,17 +88,7 @@
 		return p.listenError(err)
 	}
 	<-p.ctx.Done()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go func() {
-		<-p.second
-		cancel()
-	}()
-	err = r.Stop(ctx)
-	if err != nil {
-		return &exitError{code: exiter.CutOff, cause: err}
-	}
-	return nil
+	return stopWithNotice(r.Stop, p.second)
 }
 
 func runAgent(p process) error {
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -56,14 +56,22 @@
 	}
 }
 
-// setHosts replaces the hosts known and returns how many there were before.
-func (d *delegate) setHosts(hosts []delegator.Host) int {
+// setHosts reads the hosts anew, one reader at a time so that none puts older
+// ones back, and returns how many were and are known.
+func (d *delegate) setHosts(read func() []delegator.Host) (before, after int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	before := len(d.hosts)
-	d.hosts = hosts
+	before = len(d.hosts)
+	d.hosts = read()
 	clear(d.plans)
-	return before
+	return before, len(d.hosts)
+}
+
+// known returns the hosts that have an entry in the store, in a list that isn't changed.
+func (d *delegate) known() []delegator.Host {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.hosts
 }
 
 // choose returns a gathering host for a query, or nil if this host fans out by itself.
@@ -104,7 +112,17 @@
 	return choice.Server
 }
 
-func (d *delegate) ended(host string, sent time.Time, outcome placer.Outcome, work time.Duration) {
+// ended notes how an exchange with a host ended, which the context may have cut short.
+func (d *delegate) ended(ctx context.Context, host string, sent time.Time, err error, work time.Duration) {
+	outcome := placer.Answered
+	switch {
+	case errors.Is(err, errNoReceipt), errors.Is(err, context.DeadlineExceeded):
+		outcome = placer.Silent
+	case ctx.Err() != nil:
+		outcome = placer.Withdrawn
+	case err != nil:
+		outcome = placer.Failed
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
@@ -120,12 +138,11 @@
 // handOver lets a gathering host serve a query and reports whether it did; if
 // not, nothing has been written and this host serves it.
 func (f *Forwarder) handOver(w http.ResponseWriter, r *http.Request, a *arrival) bool {
-	target, ok := a.route.Target.(*matcher.Sharded)
-	if !ok {
+	connections, sharded := f.connections(a.route)
+	if !sharded {
 		return false
 	}
 	arrived, patience := time.Now(), a.call.Left
-	connections := f.connections(target)
 	var tried []string
 	for range handOverTries {
 		host := f.delegate.choose(f.self(), connections, tried, a.route.Objective)
@@ -135,17 +152,7 @@
 		tried = append(tried, host.ID)
 		sent := time.Now()
 		answer, err := f.passTo(r, a, host)
-		outcome := placer.Answered
-		switch {
-		case r.Context().Err() != nil:
-			outcome = placer.Withdrawn
-		case errors.Is(err, context.DeadlineExceeded):
-			outcome = placer.Silent
-		case err != nil:
-			outcome = placer.Failed
-		}
-		f.delegate.ended(host.ID, sent, outcome, a.route.Objective)
-		f.metrics.handedOver(err)
+		f.handedOver(r.Context(), a, host, sent, err)
 		if err == nil {
 			writeAnswer(w, r.Method, answer)
 			return true
@@ -153,8 +160,6 @@
 		if r.Context().Err() != nil {
 			return true
 		}
-		f.cfg.Logger.Info(logger.HandOverFailed, "request", a.call.ID, "gatherer", host.ID, "error", err,
-			"tookMillis", time.Since(sent).Milliseconds())
 		a.spent = time.Since(arrived)
 		a.call.Left = patience - a.spent
 		if mayHaveGathered(err) {
@@ -165,11 +170,29 @@
 	return false
 }
 
+// handedOver notes how a query or a slice fared at another host; one that was
+// withdrawn here says nothing of that host.
+func (f *Forwarder) handedOver(ctx context.Context, a *arrival, host *lister.Server, sent time.Time, err error, pairs ...any) {
+	f.delegate.ended(ctx, host.ID, sent, err, a.route.Objective)
+	f.metrics.handedOver(err)
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	f.cfg.Logger.Info(logger.HandOverFailed, append([]any{
+		"request", a.call.ID, "gatherer", host.ID, "error", err, "tookMillis", time.Since(sent).Milliseconds(),
+	}, pairs...)...)
+}
+
+// NeverConnected reports whether an exchange failed before there was a connection to send on.
+func NeverConnected(err error) bool {
+	var opErr *net.OpError
+	return errors.As(err, &opErr) && opErr.Op == "dial"
+}
+
 // mayHaveGathered reports whether a gathering host may have sent a query on
 // before the exchange with it failed.
 func mayHaveGathered(err error) bool {
-	var opErr *net.OpError
-	return !errors.Is(err, errNotGathered) && (!errors.As(err, &opErr) || opErr.Op != "dial")
+	return !errors.Is(err, errNotGathered) && !NeverConnected(err)
 }
 
 // passTo sends the caller's request to a gathering host and reads the whole answer.
@@ -177,9 +200,18 @@
 	deadline := time.Now().Add(min(a.call.Left, a.route.Timeout))
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
+	return f.askGatherer(ctx, a, host, nil)
+}
+
+// askGatherer sends a caller's request to another host, with headers besides its
+// own, and reads the whole answer.
+func (f *Forwarder) askGatherer(ctx context.Context, a *arrival, host *lister.Server, headers map[string]string) (*Answer, error) {
 	out := a.outbound
 	out.header = out.header.Clone()
 	out.header.Set(handOverHeader, strconv.FormatUint(a.version, 10))
+	for name, value := range headers {
+		out.header.Set(name, value)
+	}
 	response, err := f.delegate.transport.RoundTrip(out.request(ctx, host))
 	if err != nil {
 		return nil, err
@@ -196,13 +228,14 @@
 }
 
 // connections returns the number of connections that a server of the first shard
-// takes from all hosts, 0 without a bound.
-func (f *Forwarder) connections(target *matcher.Sharded) int {
-	service, ok := f.table.Load().Service(target.Services[0])
+// of a route takes from all hosts, 0 without a bound, and whether the route has shards.
+func (f *Forwarder) connections(route *matcher.Route) (n int, sharded bool) {
+	target, ok := route.Target.(*matcher.Sharded)
 	if !ok {
-		return 0
+		return 0, false
 	}
-	return service.MaxConnections
+	service, _ := f.table.Load().Service(target.Services[0])
+	return service.MaxConnections, true
 }
 
 func (f *Forwarder) self() delegator.Host {
@@ -210,8 +243,8 @@
 	return delegator.Host{Name: s.Name, Domain: s.Domain, Address: s.Listen.Control, Capacity: s.Capacity}
 }
 
-// knownHosts returns the hosts that have an entry in the store.
-func (f *Forwarder) knownHosts() []delegator.Host {
+// readHosts decodes the entries that hosts have in the store.
+func (f *Forwarder) readHosts() []delegator.Host {
 	var hosts []delegator.Host
 	for _, object := range f.objects.List(f.cfg.Layout.HostPrefix) {
 		if object.Deleted {
--- a/internal/forwarder/follower.go
+++ b/internal/forwarder/follower.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/internal/sleeper"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/watcher"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/storer"
@@ -26,7 +27,7 @@
 	var next watcher.Event = &watcher.Woken{}
 	for ctx.Err() == nil {
 		if !f.follows() {
-			sleep(ctx, followInterval)
+			sleeper.Sleep(ctx, followInterval)
 			continue
 		}
 		for _, action := range m.Step(time.Now(), next) {
@@ -40,7 +41,11 @@
 				f.metrics.storeCall("watch", err)
 				next = &watcher.Changed{Page: page, Err: err}
 			case *watcher.Wait:
-				sleep(ctx, f.delay(a))
+				delay := a.Delay
+				if a.Retry {
+					delay = f.retryDelay(delay)
+				}
+				sleeper.Sleep(ctx, delay)
 				next = &watcher.Woken{}
 			case *watcher.Replace:
 				f.replaced(prefix, a)
@@ -55,24 +60,11 @@
 	}
 }
 
-// delay returns how long to wait before the next call to the store.
-func (f *Forwarder) delay(a *watcher.Wait) time.Duration {
-	if !a.Retry {
-		return a.Delay
-	}
+// retryDelay returns how long to wait after a failed call to the store.
+func (f *Forwarder) retryDelay(d time.Duration) time.Duration {
 	f.sourceMu.Lock()
 	defer f.sourceMu.Unlock()
-	return f.source.RetryDelay(a.Delay)
-}
-
-// sleep waits until the context ends at the latest.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	return f.source.RetryDelay(d)
 }
 
 // checkStore asks the store for the entry of this host until it answers, since
@@ -98,7 +90,7 @@
 				f.cfg.Logger.Warn(logger.StoreLost, "prefix", f.cfg.Layout.HostPrefix, "error", err)
 				f.engine.push(storeState{answers: false})
 			}
-			sleep(ctx, checkTimeout)
+			sleeper.Sleep(ctx, checkTimeout)
 		}
 	})
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
 	"github.com/rhubarbpost/rhubarbpost/internal/protocol/exchanger/exchangerconnect"
+	"github.com/rhubarbpost/rhubarbpost/internal/sleeper"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/connector"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/watcher"
@@ -194,7 +195,7 @@
 	f.cfg.Logger.Info(logger.StopBegun, "inFlight", f.callers.InFlight())
 	begun := time.Now()
 	f.stopping.Store(true)
-	sleep(ctx, noticeTime)
+	sleeper.Sleep(ctx, noticeTime)
 	ctx, cancel := context.WithDeadline(ctx, begun.Add(f.Settings().Grace.Value()-exitReserve))
 	defer cancel()
 	err := f.callers.Shutdown(ctx)
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -153,15 +153,14 @@
 		return
 	}
 	sharded, ok := a.route.Target.(*matcher.Sharded)
-	if ok && a.slice {
+	switch {
+	case !ok:
+		writeAnswer(w, a.outbound.method, end.answers[0])
+	case a.slice:
 		f.writeSlice(w, sharded, end.answers)
-		return
-	}
-	if ok {
+	default:
 		f.writeMerged(w, sharded, end.answers)
-		return
 	}
-	writeAnswer(w, a.outbound.method, end.answers[0])
 }
 
 // writeAnswer passes the answer of one server on as it is.
@@ -193,8 +192,13 @@
 			bodies = append(bodies, a.Body)
 		}
 	}
-	body := f.cfg.Merger.Merge(bodies, target.Rows)
 	f.cfg.Dialect.Cover(w.Header(), proofs, len(answers)-len(proofs))
+	f.writeRows(w, bodies, target.Rows)
+}
+
+// writeRows writes the n greatest rows of the bodies.
+func (f *Forwarder) writeRows(w http.ResponseWriter, bodies [][]byte, n int) {
+	body := f.cfg.Merger.Merge(bodies, n)
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(http.StatusOK)
--- a/internal/forwarder/members.go
+++ b/internal/forwarder/members.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
-	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/watcher"
+	"github.com/rhubarbpost/rhubarbpost/internal/sleeper"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/storer"
 )
 
@@ -39,12 +39,12 @@
 		err := f.listHosts(ctx, &joined)
 		if err != nil {
 			f.cfg.Logger.Warn(logger.MemberFailed, "joined", joined, "error", err)
-			sleep(ctx, f.delay(&watcher.Wait{Delay: memberRetry, Retry: true}))
+			sleeper.Sleep(ctx, f.retryDelay(memberRetry))
 			continue
 		}
-		sleep(ctx, memberInterval)
+		sleeper.Sleep(ctx, memberInterval)
 		for ctx.Err() == nil && !f.follows() {
-			sleep(ctx, memberInterval)
+			sleeper.Sleep(ctx, memberInterval)
 		}
 	}
 }
@@ -68,11 +68,10 @@
 
 // hostsChanged puts the hosts in force that have an entry.
 func (f *Forwarder) hostsChanged() {
-	hosts := f.knownHosts()
-	before := f.delegate.setHosts(hosts)
-	f.metrics.hosts.Set(float64(len(hosts)))
-	f.engine.push(hostCount{len(hosts)})
-	f.cfg.Logger.Info(logger.HostsChanged, "hosts", len(hosts), "before", before)
+	before, after := f.delegate.setHosts(f.readHosts)
+	f.metrics.hosts.Set(float64(after))
+	f.engine.push(hostCount{after})
+	f.cfg.Logger.Info(logger.HostsChanged, "hosts", after, "before", before)
 }
 
 // join writes the entry of this host unless it is there as it should be.
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -14,6 +13,7 @@
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
 	"github.com/rhubarbpost/rhubarbpost/internal/protocol/exchanger"
 	"github.com/rhubarbpost/rhubarbpost/internal/protocol/exchanger/exchangerconnect"
+	"github.com/rhubarbpost/rhubarbpost/internal/sleeper"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/connector"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/delegator"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/storer"
@@ -53,7 +53,7 @@
 	client := connector.NewClient()
 	defer client.CloseIdleConnections()
 	for {
-		sleep(ctx, askInterval)
+		sleeper.Sleep(ctx, askInterval)
 		if ctx.Err() != nil {
 			return
 		}
@@ -72,7 +72,7 @@
 func (f *Forwarder) watchers() []string {
 	s := f.Settings()
 	var addresses []string
-	for _, host := range delegator.Watchers(s.Domain, f.knownHosts()) {
+	for _, host := range delegator.Watchers(s.Domain, f.delegate.known()) {
 		if host.Name == s.Name {
 			addresses = nil
 			break
@@ -136,12 +136,8 @@
 	for _, address := range f.Settings().Seeds {
 		add(address)
 	}
-	for _, object := range f.objects.List(f.cfg.Layout.HostPrefix) {
-		var m member
-		if object.Deleted || json.Unmarshal(object.Value, &m) != nil {
-			continue
-		}
-		add(m.Control)
+	for _, host := range f.delegate.known() {
+		add(host.Address)
 	}
 	return addresses
 }
--- a/internal/forwarder/slice.go
+++ b/internal/forwarder/slice.go
@@ -4,17 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptrace"
-	"net/textproto"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/rhubarbpost/rhubarbpost/internal/logger"
-	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/placer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
@@ -45,37 +41,21 @@
 // passSlice has a host of another failure domain gather the parts of a slice
 // and returns an answer for each.
 func (f *Forwarder) passSlice(ctx context.Context, r *arrival, s *scatterer.SendSlice) []*Answer {
-	target, ok := r.route.Target.(*matcher.Sharded)
-	if !ok {
-		return sliceFailed(s, &Answer{Code: classifier.NotSent, Err: errNotGathered})
-	}
-	host := f.delegate.chooseIn(s.Domain, f.connections(target), r.route.Objective)
+	connections, _ := f.connections(r.route)
+	host := f.delegate.chooseIn(s.Domain, connections, r.route.Objective)
 	if host == nil {
 		return sliceFailed(s, &Answer{Code: classifier.NotSent, Err: errNoHost})
 	}
 	sent := time.Now()
 	answers, err := f.exchangeSlice(ctx, r, s, host)
-	outcome := placer.Answered
+	f.handedOver(ctx, r, host, sent, err, "domain", s.Domain, "parts", len(s.Parts))
+	code := classifier.NotSent
 	switch {
-	case errors.Is(err, errNoReceipt), errors.Is(ctx.Err(), context.DeadlineExceeded):
-		outcome = placer.Silent
-	case ctx.Err() != nil:
-		outcome = placer.Withdrawn
-	case err != nil:
-		outcome = placer.Failed
-	}
-	f.delegate.ended(host.ID, sent, outcome, r.route.Objective)
-	f.metrics.handedOver(err)
-	if err == nil {
+	case err == nil:
 		return answers
-	}
-	if ctx.Err() != nil {
-		return sliceFailed(s, &Answer{Code: classifier.CodeOf(ctx.Err(), classifier.Canceled), Err: err})
-	}
-	f.cfg.Logger.Info(logger.HandOverFailed, "request", r.call.ID, "gatherer", host.ID, "domain", s.Domain,
-		"parts", len(s.Parts), "error", err, "tookMillis", time.Since(sent).Milliseconds())
-	code := classifier.NotSent
-	if mayHaveGathered(err) {
+	case ctx.Err() != nil:
+		code = classifier.CodeOf(ctx.Err(), classifier.Canceled)
+	case mayHaveGathered(err):
 		code = classifier.ServerFailed
 	}
 	return sliceFailed(s, &Answer{Code: code, Err: err})
@@ -101,33 +81,20 @@
 		}
 	})
 	defer overdue.Stop()
-	out := r.outbound
-	out.header = out.header.Clone()
-	out.header.Set(handOverHeader, strconv.FormatUint(r.version, 10))
-	out.header.Set(sliceHeader, joinInts(s.Parts))
-	out.header.Set(neededHeader, strconv.Itoa(s.Needed))
-	response, err := f.delegate.transport.RoundTrip(out.request(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		Got1xxResponse: func(int, textproto.MIMEHeader) error {
-			received.Store(true)
-			return nil
-		},
-	}), host))
-	if err != nil {
-		return nil, errors.Join(context.Cause(ctx), err)
-	}
-	received.Store(true)
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotFirstResponseByte: func() { received.Store(true) },
+	})
+	answer, err := f.askGatherer(ctx, r, host, map[string]string{
+		sliceHeader: joinInts(s.Parts), neededHeader: strconv.Itoa(s.Needed),
+	})
 	switch {
 	case err != nil:
-		return nil, errors.Join(context.Cause(ctx), err)
-	case response.StatusCode == http.StatusMisdirectedRequest:
-		return nil, errNotGathered
-	case response.StatusCode != http.StatusOK:
+		return nil, err
+	case answer.Status != http.StatusOK:
 		// The other host has tried and says what came of it.
 		return sliceFailed(s, &Answer{Code: classifier.ServerFailed, Exhausted: true}), nil
 	}
-	return readSlice(s, response.Header, body)
+	return readSlice(s, answer.Header, answer.Body)
 }
 
 // readSlice returns the answers of the parts that a gathered slice covers; the
@@ -188,12 +155,8 @@
 			w.Header().Add(proofHeader, a.Proof)
 		}
 	}
-	body := f.cfg.Merger.Merge(bodies, target.Rows)
 	w.Header().Set(sliceHeader, joinInts(covered))
-	w.Header().Set("Content-Type", "application/octet-stream")
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(http.StatusOK)
-	_, _ = w.Write(body)
+	f.writeRows(w, bodies, target.Rows)
 }
 
 func joinInts(list []int) string {
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -14,6 +14,7 @@
 	"github.com/rhubarbpost/rhubarbpost/internal/loader"
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
 	"github.com/rhubarbpost/rhubarbpost/internal/protocol/exchanger/exchangerconnect"
+	"github.com/rhubarbpost/rhubarbpost/internal/sleeper"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/connector"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/sealer"
@@ -146,10 +147,10 @@
 	notice, limit := r.drainTimes()
 	ctx, cancel := context.WithTimeout(ctx, notice+limit)
 	defer cancel()
-	sleep(ctx, notice)
+	sleeper.Sleep(ctx, notice)
 	err := r.callers.Shutdown(ctx)
 	for err == nil && r.openTickets() > 0 && ctx.Err() == nil {
-		sleep(ctx, stopPoll)
+		sleeper.Sleep(ctx, stopPoll)
 	}
 	err = errors.Join(err, r.control.Shutdown(ctx))
 	if err != nil {
@@ -165,16 +166,6 @@
 	return nil
 }
 
-// sleep waits for a time or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // drainTimes returns the longest notice and drain limit of all services.
 func (r *Receiver) drainTimes() (notice, limit time.Duration) {
 	for _, s := range r.snapshot() {
--- /dev/null
+++ b/internal/sleeper/doc.go
@@ -0,0 +1,2 @@
+// Package sleeper waits for a time that may be cut short.
+package sleeper
