--- a/internal/lab/standin/site.go
+++ b/internal/lab/standin/site.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
@@ -24,6 +25,7 @@
 	rowsPerShard = 3
 	// hostPorts are the callers', readiness, control and metrics port of a host.
 	hostPorts = 4
+	siteBurst = 50
 )
 
 // SiteConfig describes a site of one machine.
@@ -58,6 +60,15 @@
 // StartSite starts the store and the servers, and writes the settings of the hosts.
 func StartSite(cfg SiteConfig) (*Site, error) {
 	s := &Site{store: NewStore()}
+	err := s.build(cfg)
+	if err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) build(cfg SiteConfig) error {
 	file := SiteFile{Host: siteHost}
 	shards := make([]string, cfg.Shards)
 	for shard := range cfg.Shards {
@@ -70,27 +81,20 @@
 		for replica := range siteReplicas {
 			err := s.add(shards[shard], cfg.Domains[(shard+replica)%len(cfg.Domains)], rows)
 			if err != nil {
-				s.Close()
-				return nil, err
+				return err
 			}
 		}
 	}
 	for _, domain := range cfg.Domains {
 		err := s.add(orderService, domain, nil)
 		if err != nil {
-			s.Close()
-			return nil, err
+			return err
 		}
 	}
 	slices.SortFunc(file.Rows, func(a, b uint64) int { return cmp.Compare(b, a) })
 	file.Rows = file.Rows[:min(siteRows, len(file.Rows))]
 	s.configure(shards)
-	err := s.writeSettings(cfg, &file)
-	if err != nil {
-		s.Close()
-		return nil, err
-	}
-	return s, nil
+	return s.writeSettings(cfg, &file)
 }
 
 // Close ends the servers and the store.
@@ -113,42 +117,63 @@
 }
 
 func (s *Site) configure(shards []string) {
-	route := func(own map[string]any) map[string]any {
-		for name, value := range map[string]any{"hostname": siteHost, "timeout_ms": 1500, "target_latency_ms": 200, "attempts": 2, "priority": 1} {
-			own[name] = value
-		}
-		return own
+	s.store.Configure(1, siteHost,
+		map[string]any{"name": "query", "path_prefix": queryPath, "kind": "idempotent", "gather": shards, "top_k": siteRows, "min_coverage": 1},
+		map[string]any{"name": "order", "path_prefix": orderPath, "kind": "non_idempotent", "service": orderService})
+}
+
+// Configure writes a version of the configuration with routes under one host
+// name, which have the same times and attempts.
+func (s *Store) Configure(version int, host string, routes ...map[string]any) {
+	for _, route := range routes {
+		maps.Copy(route, map[string]any{"hostname": host, "timeout_ms": 1500, "target_latency_ms": 200, "attempts": 2, "priority": 1})
 	}
-	s.store.Put("config", "main", map[string]any{"version": 1, "services": []any{}, "routes": []any{
-		route(map[string]any{"name": "query", "path_prefix": queryPath, "kind": "idempotent", "gather": shards, "top_k": siteRows, "min_coverage": 1}),
-		route(map[string]any{"name": "order", "path_prefix": orderPath, "kind": "non_idempotent", "service": orderService}),
-	}})
+	s.Put("config", "main", map[string]any{"version": version, "services": []any{}, "routes": routes})
 }
 
+// HostSettings are what tells the hosts of a site on loopback from each other.
+type HostSettings struct {
+	Name   string
+	Domain string
+	// Port is the first of the host's ports: callers, readiness, control and metrics.
+	Port int
+	// Seed is the control port of the host that all others know.
+	Seed  int
+	Store string
+	// Burst is the number of extra attempts of all hosts.
+	Burst int
+}
+
+// Write writes the settings file of a host.
+func (h HostSettings) Write(path string) error {
+	data, err := json.MarshalIndent(map[string]any{
+		"name": h.Name, "domain": h.Domain, "capacity": 1,
+		"listen": map[string]any{"callers": loopback(h.Port), "readiness": loopback(h.Port + 1), "control": loopback(h.Port + 2), "metrics": loopback(h.Port + 3)},
+		"seeds":  []string{loopback(h.Seed)}, "store": h.Store, "extra": map[string]any{"ratio": 0.2, "burst": h.Burst},
+		"grace": "6s", "log": map[string]any{"level": "info", "format": "json", "bytesPerSecond": 65536},
+	}, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, data, 0o600)
+}
+
+func loopback(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
+
 func (s *Site) writeSettings(cfg SiteConfig, file *SiteFile) error {
-	port := cfg.BasePort
-	address := func(offset int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port+offset)) }
-	seed := address(2)
 	for i := range cfg.Hosts * len(cfg.Domains) {
-		name := fmt.Sprint("host", i)
-		data, err := json.MarshalIndent(map[string]any{
-			"name": name, "domain": cfg.Domains[i%len(cfg.Domains)], "capacity": 1,
-			"listen": map[string]any{"callers": address(0), "readiness": address(1), "control": address(2), "metrics": address(3)},
-			"seeds":  []string{seed}, "store": s.store.Address(), "extra": map[string]any{"ratio": 0.2, "burst": 50},
-			"grace": "6s", "log": map[string]any{"level": "info", "format": "json", "bytesPerSecond": 65536},
-		}, "", "  ")
-		if err != nil {
-			return err
+		h := HostSettings{
+			Name: fmt.Sprint("host", i), Domain: cfg.Domains[i%len(cfg.Domains)], Port: cfg.BasePort + i*hostPorts,
+			Seed: cfg.BasePort + 2, Store: s.store.Address(), Burst: siteBurst,
 		}
-		path := filepath.Join(cfg.Dir, name+".host.jsonc")
-		err = os.WriteFile(path, data, 0o600)
+		path := filepath.Join(cfg.Dir, h.Name+".host.jsonc")
+		err := h.Write(path)
 		if err != nil {
 			return err
 		}
 		file.Settings = append(file.Settings, path)
-		file.Callers = append(file.Callers, address(0))
-		file.Readiness = append(file.Readiness, address(1))
-		port += hostPorts
+		file.Callers = append(file.Callers, loopback(h.Port))
+		file.Readiness = append(file.Readiness, loopback(h.Port+1))
 	}
 	data, err := json.MarshalIndent(file, "", "  ")
 	if err != nil {
--- a/internal/lab/starter/soak_test.go
+++ b/internal/lab/starter/soak_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -122,28 +121,17 @@
 }
 
 func (s *soak) configure(version int) {
-	common := map[string]any{"hostname": soakHost, "timeout_ms": 1500, "target_latency_ms": 200, "attempts": 2, "priority": 1}
-	route := func(own map[string]any) map[string]any {
-		for name, value := range common {
-			own[name] = value
-		}
-		return own
-	}
-	s.store.Put("config", "main", map[string]any{"version": version, "services": []any{}, "routes": []any{
-		route(map[string]any{"name": "q", "path_prefix": "/q/", "kind": "idempotent", "gather": soakShards, "top_k": 3, "min_coverage": 0.5}),
-		route(map[string]any{"name": "o", "path_prefix": "/o/", "kind": "non_idempotent", "service": "c"}),
-		route(map[string]any{"name": "s", "path_prefix": "/s/", "kind": "idempotent", "service": "c"}),
-	}})
+	s.store.Configure(version, soakHost,
+		map[string]any{"name": "q", "path_prefix": "/q/", "kind": "idempotent", "gather": soakShards, "top_k": 3, "min_coverage": 0.5},
+		map[string]any{"name": "o", "path_prefix": "/o/", "kind": "non_idempotent", "service": "c"},
+		map[string]any{"name": "s", "path_prefix": "/s/", "kind": "idempotent", "service": "c"})
 }
 
 func (s *soak) writeSettings(i, burst int) {
-	port := s.ports[i]
-	text := fmt.Sprintf(`{"name": "h%d", "domain": "d%d", "capacity": 1, "listen": {"callers": "127.0.0.1:%d",
-		"readiness": "127.0.0.1:%d", "control": "127.0.0.1:%d", "metrics": "127.0.0.1:%d"}, "seeds": ["127.0.0.1:%d"],
-		"store": %q, "extra": {"ratio": 0.2, "burst": %d}, "grace": "6s",
-		"log": {"level": "info", "format": "json", "bytesPerSecond": 65536}}`,
-		i, 1+i%2, port, port+1, port+2, port+3, s.ports[0]+2, s.links[len(s.servers)+i].address(), burst)
-	err := os.WriteFile(s.files[i], []byte(text), 0o600)
+	err := standin.HostSettings{
+		Name: fmt.Sprint("h", i), Domain: fmt.Sprint("d", 1+i%2), Port: s.ports[i], Seed: s.ports[0] + 2,
+		Store: s.links[len(s.servers)+i].address(), Burst: burst,
+	}.Write(s.files[i])
 	if err != nil {
 		s.t.Error(err)
 	}
@@ -154,16 +142,7 @@
 }
 
 func (s *soak) ready(i int) bool {
-	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, fmt.Sprintf("http://127.0.0.1:%d/-/ready", s.ports[i]+1), http.NoBody)
-	if err != nil {
-		return false
-	}
-	response, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
+	return Status(fmt.Sprint("127.0.0.1:", s.ports[i]+1), "/-/ready") == http.StatusOK
 }
 
 // disturb injects one fault after another until the context ends, then heals all.
--- a/internal/lab/starter/starter.go
+++ b/internal/lab/starter/starter.go
@@ -54,26 +54,26 @@
 type Process struct {
 	Name string
 	cmd  *exec.Cmd
-	logs *safeBuffer
+	logs *Buffer
 	done chan struct{}
 	err  error
 }
 
-// safeBuffer collects the logs of a process.
-type safeBuffer struct {
+// Buffer collects logs that are read while they are written.
+type Buffer struct {
 	mu  sync.Mutex
 	buf bytes.Buffer
 }
 
 // Write appends to the buffer.
-func (b *safeBuffer) Write(p []byte) (int, error) {
+func (b *Buffer) Write(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.buf.Write(p)
 }
 
 // String returns all that was written.
-func (b *safeBuffer) String() string {
+func (b *Buffer) String() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.buf.String()
@@ -82,7 +82,7 @@
 // Start starts a program; it is killed at the end of the test at the latest.
 func Start(t testing.TB, name, program string, args ...string) *Process {
 	t.Helper()
-	p := &Process{Name: name, logs: &safeBuffer{}, done: make(chan struct{})}
+	p := &Process{Name: name, logs: &Buffer{}, done: make(chan struct{})}
 	p.cmd = exec.CommandContext(context.Background(), filepath.Join(programs(t), program), args...)
 	p.cmd.Stdout, p.cmd.Stderr = p.logs, p.logs
 	err := p.cmd.Start()
