internal/forwarder: watches of servers and hosts may be seconds old, at a tenth of their price

The platform prices a read that may be old at a tenth.

Ruled out: the configuration, whose bound of 5 s a copy that is 6 s behind breaks; lists, which a host reads to learn what an outage or the end of the history hid. Entries of servers bear being old: a server that leaves serves on for 5 s and more, the next retry leaves one that is gone.

The watcher waits before it asks a copy again that is behind what it has heard. The stand-in store can freeze its copies.

--- a/internal/forwarder/follower.go
+++ b/internal/forwarder/follower.go
@@ -37,7 +37,7 @@
 				f.metrics.storeCall("list", err)
 				next = &watcher.Listed{Page: page, Err: err}
 			case *watcher.Watch:
-				page, err := f.store.Load().Watch(ctx, prefix, a.After)
+				page, err := f.changes(prefix).Watch(ctx, prefix, a.After)
 				f.metrics.storeCall("watch", err)
 				next = &watcher.Changed{Page: page, Err: err}
 			case *watcher.Wait:
@@ -60,6 +60,19 @@
 	}
 }
 
+// changes returns the view of the store in which a prefix is watched. The
+// configuration has to be in force within seconds of the operator's write. A
+// backend server that leaves serves on for about as long as a copy of the store
+// lags, and a host that is gone shows by itself. Lists are never old, so that what
+// an outage or the end of the history hid is known at once.
+func (f *Forwarder) changes(prefix string) storer.Store {
+	store := f.store.Load()
+	if prefix == f.cfg.Layout.ConfigPrefix {
+		return store
+	}
+	return store.Serializable()
+}
+
 // retryDelay returns how long to wait after a failed call to the store.
 func (f *Forwarder) retryDelay(d time.Duration) time.Duration {
 	f.sourceMu.Lock()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -42,6 +42,9 @@
 // Store is a client of a platform's store.
 type Store interface {
 	storer.Store
+	// Serializable returns a view whose lists and watches may be seconds old, at
+	// less cost to the store.
+	Serializable() storer.Store
 	Close()
 }
 
--- a/internal/lab/standin/store.go
+++ b/internal/lab/standin/store.go
@@ -34,6 +34,8 @@
 	Status int `json:"status,omitempty"`
 	// Silent holds every call until the faults change, and then ends its connection.
 	Silent bool `json:"silent,omitempty"`
+	// Frozen is the version at which serializable watches stand still.
+	Frozen uint64 `json:"frozen,omitempty"`
 }
 
 // Store plays the platform's store in its protocol.
@@ -115,7 +117,11 @@
 	writeJSON(w, faults)
 }
 
-// Calls returns how many calls of a method there were.
+// serializableCalls names the reads that may be old among the calls.
+const serializableCalls = "serializable"
+
+// Calls returns how many calls of a method there were; "serializable" names
+// those among them whose answers may be old.
 func (s *Store) Calls(method string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -147,6 +153,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.calls[r.Method]++
+		if serializable(r) {
+			s.calls[serializableCalls]++
+		}
 		faults, healed := s.faults, s.healed
 		s.mu.Unlock()
 		switch {
@@ -174,6 +183,11 @@
 	})
 }
 
+// serializable reports whether the answer of a read may be old.
+func serializable(r *http.Request) bool {
+	return r.URL.Query().Get("serializable") == "1"
+}
+
 // errCut ends a watch when the faults change.
 var errCut = errors.New("the faults changed")
 
@@ -244,12 +258,15 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
 	defer cancel()
-	page, err := s.state.Watch(ctx, keyOf(r, ""), after)
+	page, err := s.watch(ctx, r, after)
 	switch {
 	case errors.Is(context.Cause(r.Context()), errCut):
 		panic(http.ErrAbortHandler)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) && err != nil:
 		page = storer.Page{Version: s.state.Version()}
+		if frozen, ok := s.frozen(r); ok {
+			page.Version = frozen
+		}
 	case err != nil:
 		s.fail(w, r, err)
 		return
@@ -267,6 +284,23 @@
 	writeJSON(w, map[string]any{"at": page.Version, "events": events})
 }
 
+// watch waits for changes; where a call sees none, for the end of the context.
+func (s *Store) watch(ctx context.Context, r *http.Request, after uint64) (storer.Page, error) {
+	frozen, ok := s.frozen(r)
+	if ok && after >= frozen {
+		<-ctx.Done()
+		return storer.Page{}, ctx.Err()
+	}
+	return s.state.Watch(ctx, keyOf(r, ""), after)
+}
+
+// frozen returns the version at which what a call sees stands still, if it does.
+func (s *Store) frozen(r *http.Request) (uint64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Frozen, serializable(r) && s.faults.Frozen > 0
+}
+
 func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
 	object, err := s.state.Get(r.Context(), keyOf(r, r.PathValue("name")))
 	if err != nil {
--- a/pkg/coordination/watcher/watcher.go
+++ b/pkg/coordination/watcher/watcher.go
@@ -13,7 +13,8 @@
 	RetryMin time.Duration
 	RetryMax time.Duration
 	// Pause is the least time from a change to the next watch, so that changes
-	// in quick succession come in one page.
+	// in quick succession come in one page, and after an answer that is older
+	// than one before.
 	Pause time.Duration
 }
 
@@ -141,8 +142,10 @@
 }
 
 func (m *Machine) merged(page storer.Page) []Action {
+	// A copy of the store that lags may not hold a watch of what it hasn't seen.
+	lags := page.Version < m.after
 	m.regained(page)
-	if len(page.Objects) > 0 && m.cfg.Pause > 0 {
+	if (len(page.Objects) > 0 || lags) && m.cfg.Pause > 0 {
 		return []Action{&Merge{Page: page}, &Wait{Delay: m.cfg.Pause}}
 	}
 	return []Action{&Merge{Page: page}, m.next()}
--- a/pkg/coordination/watcher/watcher_test.go
+++ b/pkg/coordination/watcher/watcher_test.go
@@ -25,7 +25,8 @@
 	page = storer.Page{Version: 9}
 	is.Equal(m.Step(start, &Changed{Page: page}), []Action{&Merge{Page: page}, &Watch{After: 9}})
 	page = storer.Page{Version: 8}
-	is.Equal(last(m.Step(start, &Changed{Page: page})), &Watch{After: 9}) // never back
+	is.Equal(last(m.Step(start, &Changed{Page: page})), &Wait{Delay: DefaultConfig().Pause}) // from a copy that lags
+	is.Equal(m.Step(start, &Woken{}), []Action{&Watch{After: 9}})                            // never back
 }
 
 // TestChangesInQuickSuccessionComeInOnePage waits after each change.
