pkg/coordination/delegator: two hosts follow the store in small failure domains too

Cause: in domains of up to five hosts each followed the store by itself, though one that asks a follower every 500 ms hears a change as soon.

Ruled out: one follower a domain, whose loss leaves the others without news for 3.5 s of the 5 s that a configuration has.

The sites of tas, with two hosts a domain, are as before.

--- a/pkg/coordination/delegator/delegator.go
+++ b/pkg/coordination/delegator/delegator.go
@@ -17,9 +17,6 @@
 	// watchers is how many hosts of a failure domain follow the store, so that
 	// the loss of one leaves the other.
 	watchers = 2
-	// directWatchers is the number of hosts of a failure domain up to which all
-	// of them follow the store.
-	directWatchers = 5
 )
 
 // Host is a host of the system.
@@ -77,7 +74,7 @@
 // others there; small failure domains have none, and each host follows by itself.
 func Watchers(domain string, hosts []Host) []Host {
 	own := ranked(domain, hosts)
-	if len(own) <= directWatchers {
+	if len(own) <= watchers {
 		return nil
 	}
 	return own[:watchers]
--- a/pkg/coordination/delegator/delegator_test.go
+++ b/pkg/coordination/delegator/delegator_test.go
@@ -84,12 +84,14 @@
 	}
 }
 
-func TestTwoHostsOfALargeDomainFollowTheStore(t *testing.T) {
+func TestTwoHostsOfADomainFollowTheStore(t *testing.T) {
 	is := is.New(t)
-	is.Equal(len(Watchers("a", site(directWatchers))), 0)
-	chosen := Watchers("a", site(27))
-	is.Equal(len(chosen), watchers)
-	for _, host := range chosen {
-		is.Equal(host.Domain, "a")
+	is.Equal(len(Watchers("a", site(watchers))), 0)
+	for _, perDomain := range []int{3, 27} {
+		chosen := Watchers("a", site(perDomain))
+		is.Equal(len(chosen), watchers)
+		for _, host := range chosen {
+			is.Equal(host.Domain, "a")
+		}
 	}
 }
