internal/forwarder: a first list may be old, a host writes its entry once

A restarted host tried to write its entry, read it and listed the hosts.

Now a host lists first, at a tenth of the price, and writes its entry only if it is not there as it should be; it lists again 2 s later, when those that started with it have joined too, in place of 10 s. The first list of the servers may be old as well, since the watch goes on from its version. Ruled out: later lists, which tell what an outage or the end of the history hid, and the configuration.

--- a/internal/forwarder/follower.go
+++ b/internal/forwarder/follower.go
@@ -33,11 +33,11 @@
 		for _, action := range m.Step(time.Now(), next) {
 			switch a := action.(type) {
 			case *watcher.List:
-				page, err := f.store.Load().List(ctx, prefix)
+				page, err := f.reads(prefix, !a.First).List(ctx, prefix)
 				f.metrics.storeCall("list", err)
 				next = &watcher.Listed{Page: page, Err: err}
 			case *watcher.Watch:
-				page, err := f.changes(prefix).Watch(ctx, prefix, a.After)
+				page, err := f.reads(prefix, false).Watch(ctx, prefix, a.After)
 				f.metrics.storeCall("watch", err)
 				next = &watcher.Changed{Page: page, Err: err}
 			case *watcher.Wait:
@@ -60,14 +60,13 @@
 	}
 }
 
-// changes returns the view of the store in which a prefix is watched. The
-// configuration has to be in force within seconds of the operator's write. A
-// backend server that leaves serves on for about as long as a copy of the store
-// lags, and a host that is gone shows by itself. Lists are never old, so that what
-// an outage or the end of the history hid is known at once.
-func (f *Forwarder) changes(prefix string) storer.Store {
+// reads returns the view of the store for a prefix. The configuration has to be
+// in force within seconds of the operator's write. A backend server that leaves
+// serves on for about as long as a copy of the store lags; only a list that tells
+// what an outage or the end of the history hid must be of now.
+func (f *Forwarder) reads(prefix string, ofNow bool) storer.Store {
 	store := f.store.Load()
-	if prefix == f.cfg.Layout.ConfigPrefix {
+	if ofNow || prefix == f.cfg.Layout.ConfigPrefix {
 		return store
 	}
 	return store.Serializable()
--- a/internal/forwarder/members.go
+++ b/internal/forwarder/members.go
@@ -15,6 +15,9 @@
 const (
 	// memberInterval is how often the hosts are listed.
 	memberInterval = 10 * time.Second
+	// memberSettle is how long after a host has joined it lists the hosts again,
+	// when those that the platform starts at the same time have joined too.
+	memberSettle = 2 * time.Second
 	// memberRetry is the delay after a failed call.
 	memberRetry = 500 * time.Millisecond
 	// unknownHosts is how many hosts are taken to share the extra attempts
@@ -36,12 +39,20 @@
 func (f *Forwarder) joinAndList(ctx context.Context) {
 	joined := false
 	for ctx.Err() == nil {
-		err := f.listHosts(ctx, &joined)
+		err := f.listHosts(ctx)
+		if err == nil && !joined {
+			err = f.join(ctx)
+		}
 		if err != nil {
 			f.cfg.Logger.Warn(logger.MemberFailed, "joined", joined, "error", err)
 			sleeper.Sleep(ctx, f.retryDelay(memberRetry))
 			continue
 		}
+		if !joined {
+			joined = true
+			sleeper.Sleep(ctx, memberSettle)
+			continue
+		}
 		sleeper.Sleep(ctx, memberInterval)
 		for ctx.Err() == nil && !f.follows() {
 			sleeper.Sleep(ctx, memberInterval)
@@ -49,15 +60,8 @@
 	}
 }
 
-func (f *Forwarder) listHosts(ctx context.Context, joined *bool) error {
-	if !*joined {
-		err := f.join(ctx)
-		if err != nil {
-			return err
-		}
-		*joined = true
-	}
-	page, err := f.store.Load().List(ctx, f.cfg.Layout.HostPrefix)
+func (f *Forwarder) listHosts(ctx context.Context) error {
+	page, err := f.reads(f.cfg.Layout.HostPrefix, false).List(ctx, f.cfg.Layout.HostPrefix)
 	f.metrics.storeCall("list", err)
 	if err != nil {
 		return err
@@ -76,22 +80,45 @@
 
 // join writes the entry of this host unless it is there as it should be.
 func (f *Forwarder) join(ctx context.Context) error {
-	key := f.cfg.Layout.HostPrefix + f.Settings().Name
-	value, err := json.Marshal(member{Domain: f.Settings().Domain, Control: f.Settings().Listen.Control, Capacity: f.Settings().Capacity})
-	if err != nil {
-		return err
+	settings := f.Settings()
+	key := f.cfg.Layout.HostPrefix + settings.Name
+	own := member{Domain: settings.Domain, Control: settings.Listen.Control, Capacity: settings.Capacity}
+	held, ok := f.objects.Get(key)
+	if !ok {
+		held.Version = storer.Absent
 	}
-	_, err = f.store.Load().Put(ctx, key, value, storer.Absent)
-	f.metrics.storeCall("put", err)
-	if !errors.Is(err, storer.ErrConflict) {
-		return err
+	if ok && own.is(held) {
+		return nil
 	}
-	held, err := f.store.Load().Get(ctx, key)
-	f.metrics.storeCall("get", err)
-	if err != nil || string(held.Value) == string(value) {
+	written, err := f.writeMember(ctx, key, own, held.Version)
+	if errors.Is(err, storer.ErrConflict) {
+		// The list was old.
+		written, err = f.store.Load().Get(ctx, key)
+		f.metrics.storeCall("get", err)
+		if err == nil && !own.is(written) {
+			written, err = f.writeMember(ctx, key, own, written.Version)
+		}
+	}
+	if err != nil {
 		return err
 	}
-	_, err = f.store.Load().Put(ctx, key, value, held.Version)
+	f.take([]storer.Object{written}, source{})
+	return nil
+}
+
+func (f *Forwarder) writeMember(ctx context.Context, key string, own member, version uint64) (storer.Object, error) {
+	value, err := json.Marshal(own)
+	if err != nil {
+		return storer.Object{}, err
+	}
+	written, err := f.store.Load().Put(ctx, key, value, version)
 	f.metrics.storeCall("put", err)
-	return err
+	return written, err
+}
+
+// is reports whether an object holds the entry.
+func (m member) is(object storer.Object) bool {
+	var held member
+	err := json.Unmarshal(object.Value, &held)
+	return err == nil && held == m
 }
--- a/pkg/coordination/watcher/watcher.go
+++ b/pkg/coordination/watcher/watcher.go
@@ -50,7 +50,11 @@
 type Action interface{ watcherAction() }
 
 // List lists all objects under the prefix.
-type List struct{}
+type List struct {
+	// First says that nothing has been heard before. An old list does then, since
+	// the watch goes on from it; a later one has to tell what was missed.
+	First bool
+}
 
 // Watch waits for changes after a version.
 type Watch struct {
@@ -94,6 +98,8 @@
 	after uint64
 	// listed says that the content is known up to the version after.
 	listed bool
+	// known says that there was a list.
+	known bool
 	// gone says that the last call found the history gone.
 	gone  bool
 	delay time.Duration
@@ -126,7 +132,7 @@
 	if m.listed {
 		return &Watch{After: m.after}
 	}
-	return &List{}
+	return &List{First: !m.known}
 }
 
 func (m *Machine) replaced(now time.Time, page storer.Page) []Action {
@@ -137,7 +143,7 @@
 	gone := m.gone
 	m.regained(page)
 	m.gone = gone
-	m.listed = true
+	m.listed, m.known = true, true
 	return []Action{replace, m.next()}
 }
 
--- a/pkg/coordination/watcher/watcher_test.go
+++ b/pkg/coordination/watcher/watcher_test.go
@@ -19,7 +19,7 @@
 func TestListThenWatchFromTheList(t *testing.T) {
 	is := is.New(t)
 	m := New(DefaultConfig())
-	is.Equal(m.Step(start, &Woken{}), []Action{&List{}})
+	is.Equal(m.Step(start, &Woken{}), []Action{&List{First: true}})
 	page := storer.Page{Version: 7}
 	is.Equal(m.Step(start, &Listed{Page: page}), []Action{&Replace{Page: page}, &Watch{After: 7}})
 	page = storer.Page{Version: 9}
