pkg/coordination/assessor: hosts with few requests heed a peer that is cut off

A host asks to be left out after three lost requests in 0.7 s; with 85 hosts each gets one a second, and hands that to a gathering host, so that only the two gathering hosts noticed.

Now a host that is unfit says so to those that ask it for objects. One that is told checks the store, and leaves the rotation if that doesn't answer either; the word of a peer of another domain, or of one that alone is cut off, moves nothing. Queries that another host served count too.

--- a/internal/comparer/comparer.go
+++ b/internal/comparer/comparer.go
@@ -66,6 +66,14 @@
 	h.Set(ageHeader, strconv.FormatInt(age.Milliseconds(), 10))
 }
 
+// unfitHeader says that the answering host is cut off and asks to be left out by the balancer.
+const unfitHeader = "X-Host-Unfit"
+
+// SetUnfit states that the answering host is unfit to take callers.
+func SetUnfit(h http.Header) {
+	h.Set(unfitHeader, "1")
+}
+
 // Fetched is what a peer has told.
 type Fetched struct {
 	// Newer are the objects that are newer there, Wanted the keys of those that are newer here.
@@ -76,6 +84,8 @@
 	// Age is how long ago the store confirmed what the peer holds, if Known.
 	Age   time.Duration
 	Known bool
+	// Unfit says that the peer is cut off.
+	Unfit bool
 }
 
 // Fetch asks a peer for what is newer than the objects held.
@@ -92,6 +102,7 @@
 	if err == nil {
 		fetched.Age, fetched.Known = time.Duration(millis)*time.Millisecond, true
 	}
+	fetched.Unfit = first.Header().Get(unfitHeader) != ""
 	if first.Msg.GetEqual() {
 		fetched.Whole = true
 		return fetched, nil
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -154,6 +154,7 @@
 		answer, err := f.passTo(r, a, host)
 		f.handedOver(r.Context(), a, host, sent, err)
 		if err == nil {
+			f.engine.push(gathered{answer.Status < http.StatusInternalServerError})
 			writeAnswer(w, r.Method, answer)
 			return true
 		}
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -77,6 +77,12 @@
 // storeState says whether the store answers.
 type storeState struct{ answers bool }
 
+// peerUnfit says that a peer of this failure domain is cut off.
+type peerUnfit struct{}
+
+// gathered is the end of a query that another host gathered.
+type gathered struct{ served bool }
+
 func (*arrival) engineEvent()    {}
 func (abandonment) engineEvent() {}
 func (ending) engineEvent()      {}
@@ -85,6 +91,8 @@
 func (hostCount) engineEvent()   {}
 func (extraChange) engineEvent() {}
 func (storeState) engineEvent()  {}
+func (peerUnfit) engineEvent()   {}
+func (gathered) engineEvent()    {}
 
 // sending is an attempt that has not ended.
 type sending struct {
@@ -209,6 +217,10 @@
 		e.machine.SetHosts(item.n)
 	case storeState:
 		e.assessor.Store(now, item.answers)
+	case peerUnfit:
+		e.assessor.PeerUnfit(now)
+	case gathered:
+		e.assessor.Ended(now, item.served)
 	case extraChange:
 		e.machine.SetExtra(extraReserve*item.extra.Ratio, extraReserve*item.extra.Burst)
 	}
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -44,6 +44,9 @@
 	if c.f.lost.Load() == 0 && at.Unix() > 0 {
 		comparer.SetAge(response.Header(), time.Since(at))
 	}
+	if c.f.engine.unfit.Load() {
+		comparer.SetUnfit(response.Header())
+	}
 	return response, nil
 }
 
@@ -105,6 +108,9 @@
 	if err != nil {
 		return
 	}
+	if fetched.Unfit && slices.Contains(f.watchers(), address) {
+		f.engine.push(peerUnfit{})
+	}
 	f.take(fetched.Newer, source{whole: f.holdsServers(fetched.Newer), doubtful: f.lost.Load() > 0})
 	if !fetched.Known || !fetched.Whole {
 		return
--- a/pkg/coordination/assessor/assessor.go
+++ b/pkg/coordination/assessor/assessor.go
@@ -12,12 +12,20 @@
 	Share float64
 	// Hold is how long a host stays unfit before it tries again.
 	Hold time.Duration
+	// Trust is how long the word of a peer counts that is unfit.
+	Trust time.Duration
+	// CheckEvery is the least time between two checks of a store that answers.
+	CheckEvery time.Duration
 }
 
 // DefaultConfig returns settings under which a host that is cut off is out of
-// rotation within some three seconds, two of which the balancer takes.
+// rotation within some three seconds, two of which the balancer takes. A peer is
+// asked twice a second, and its word outlives a question without an answer.
 func DefaultConfig() Config {
-	return Config{Window: 700 * time.Millisecond, Least: 3, Share: 0.5, Hold: 4 * time.Second}
+	return Config{
+		Window: 700 * time.Millisecond, Least: 3, Share: 0.5, Hold: 4 * time.Second,
+		Trust: 1200 * time.Millisecond, CheckEvery: 600 * time.Millisecond,
+	}
 }
 
 type outcome struct {
@@ -33,6 +41,10 @@
 	away time.Time
 	// unfit is until when the host takes no callers.
 	unfit time.Time
+	// told is when a peer last said that it is unfit.
+	told time.Time
+	// checked is when the store was last to be asked.
+	checked time.Time
 }
 
 // New returns an assessor that judges a host fit.
@@ -46,6 +58,12 @@
 	a.trim(now)
 }
 
+// PeerUnfit notes that a host of the same failure domain is unfit: one with few
+// requests of its own can't tell a cut from bad luck.
+func (a *Assessor) PeerUnfit(now time.Time) {
+	a.told = now
+}
+
 // Store notes whether the store answers; its return ends a judgement at once.
 func (a *Assessor) Store(now time.Time, answers bool) {
 	switch {
@@ -75,7 +93,7 @@
 		// With the store in reach a lack of servers is the same everywhere.
 		return true
 	}
-	if !a.losing(now) {
+	if !a.suspects(now) {
 		return true
 	}
 	a.unfit = now.Add(a.cfg.Hold)
@@ -83,10 +101,19 @@
 	return false
 }
 
-// Doubts reports whether so many requests are lost that the store, which seems
-// to answer, should be asked.
+// Doubts reports whether the store, which seems to answer, should be asked now,
+// since so many requests are lost or a peer is unfit.
 func (a *Assessor) Doubts(now time.Time) bool {
-	return a.away.IsZero() && a.losing(now)
+	if !a.away.IsZero() || now.Sub(a.checked) < a.cfg.CheckEvery || !a.suspects(now) {
+		return false
+	}
+	a.checked = now
+	return true
+}
+
+// suspects reports whether the host may be cut off.
+func (a *Assessor) suspects(now time.Time) bool {
+	return now.Sub(a.told) < a.cfg.Trust || a.losing(now)
 }
 
 // losing reports whether too many of the requests of late were not served.
--- a/pkg/coordination/assessor/assessor_test.go
+++ b/pkg/coordination/assessor/assessor_test.go
@@ -46,6 +46,36 @@
 	is.True(!a.Fit(start))
 }
 
+// TestHostWithFewRequestsHeedsItsPeer tells a host without requests of a peer
+// that is unfit; one that reaches the store serves on.
+func TestHostWithFewRequestsHeedsItsPeer(t *testing.T) {
+	is := is.New(t)
+	a := New(DefaultConfig())
+	a.PeerUnfit(start)
+	is.True(a.Doubts(start))
+	is.True(a.Fit(start))
+	a.Store(start, false)
+	is.True(!a.Fit(start))
+	a.Store(start, true)
+	is.True(a.Fit(start))
+	a.Store(start, false)
+	is.True(a.Fit(start.Add(DefaultConfig().Trust))) // its word is old
+}
+
+// TestStoreThatAnswersIsCheckedNowAndThen loses requests all the time.
+func TestStoreThatAnswersIsCheckedNowAndThen(t *testing.T) {
+	is := is.New(t)
+	a := New(DefaultConfig())
+	checks := 0
+	for at := start; at.Before(start.Add(3 * time.Second)); at = at.Add(100 * time.Millisecond) {
+		lose(a, at, 3)
+		if a.Doubts(at) {
+			checks++
+		}
+	}
+	is.Equal(checks, 5)
+}
+
 func TestOldOutcomesDoNotCount(t *testing.T) {
 	is := is.New(t)
 	a := New(DefaultConfig())
