pkg/coordination/scatterer: a query tries few servers that were slow

Each of six gathering hosts forgets a slow latency after 1.5 s and tries each slow server again: 28 tries a second and host against 7 queries.

Now a server that was slow for over half a second (longer than a pause), or reported so, is a suspect once that is forgotten. A query tries one of them, or a quarter of what it may lack, beginning with another shard each time; second attempts leave them out. Ruled out: forgetting later, which keeps a server that has recovered out of work just as long.

TestQueryTriesFewServersThatWereSlow fails without the bound on tries (4 for 1).

--- a/pkg/coordination/placer/placer.go
+++ b/pkg/coordination/placer/placer.go
@@ -18,6 +18,13 @@
 	failureSmoothing = 0.25
 	// failureCost is how many times the usual work a certain failure costs.
 	failureCost = 8
+	// slowFactor is how many times longer than usual an answer of a slow server
+	// takes; more than the spread of usual work, less than any slowness that costs
+	// an objective.
+	slowFactor = 2
+	// slowSpan is how long answers must be slow to tell a slow server from a pause
+	// and the queue behind it.
+	slowSpan = 500 * time.Millisecond
 	// suspendAfter is the number of failures in a row that suspend a server.
 	suspendAfter = 3
 	// suspensionMin and suspensionMax bound the time between single tries of a suspended server.
@@ -92,9 +99,11 @@
 	sent     []time.Time
 	factor   float64
 	observed time.Time
-	failures float64
-	failed   time.Time
-	inARow   int
+	// slowSince is the first of the slow answers in a row, zero if the last was usual.
+	slowSince time.Time
+	failures  float64
+	failed    time.Time
+	inARow    int
 	// suspended is until when the server gets no work but where none other is left.
 	suspended time.Time
 	pause     time.Duration
@@ -173,11 +182,23 @@
 	cost time.Duration
 	// Doubtful means that the server is suspended or seems cut off.
 	Doubtful bool
+	// Suspect means that the server was slow for long when it was last seen, which
+	// is too long ago to count: it may have recovered, and only a try can tell.
+	Suspect bool
 }
 
 // Choose returns the server with the earliest expected answer that is not
 // excluded, or false if there is none; work is the usual time of the request.
 func (p *Placer) Choose(now time.Time, candidates []*lister.Server, excluded []string, work time.Duration) (Choice, bool) {
+	return p.choose(now, candidates, excluded, work, true)
+}
+
+// ChooseKnown is Choose without suspects.
+func (p *Placer) ChooseKnown(now time.Time, candidates []*lister.Server, excluded []string, work time.Duration) (Choice, bool) {
+	return p.choose(now, candidates, excluded, work, false)
+}
+
+func (p *Placer) choose(now time.Time, candidates []*lister.Server, excluded []string, work time.Duration, suspects bool) (Choice, bool) {
 	var best Choice
 	found := false
 	for _, candidate := range candidates {
@@ -191,6 +212,10 @@
 			Ahead:    p.queue(now, held) / slots(candidate),
 			cost:     p.cost(now, candidate, held, work),
 			Doubtful: p.suspended(now, held) || p.cutOff(now, held),
+			Suspect:  held.suspect(now, p.cfg.Memory),
+		}
+		if choice.Suspect && !suspects {
+			continue
 		}
 		if !found || choice.before(best) {
 			best, found = choice, true
@@ -251,6 +276,14 @@
 	return max(own, float64(held.load.Running+held.load.Waiting)*fresh)
 }
 
+// suspect reports whether the server was slow for long at a time that counts no more.
+func (s *server) suspect(now time.Time, memory time.Duration) bool {
+	if now.Sub(s.observed) <= memory {
+		return false
+	}
+	return s.load.Pace >= slowFactor || !s.slowSince.IsZero() && s.observed.Sub(s.slowSince) >= slowSpan
+}
+
 func (p *Placer) suspended(now time.Time, held *server) bool {
 	if held.inARow < suspendAfter {
 		return false
@@ -337,6 +370,12 @@
 		s.factor = 1
 	}
 	s.factor += smoothing * (factor - s.factor)
+	switch {
+	case factor < slowFactor:
+		s.slowSince = time.Time{}
+	case s.slowSince.IsZero():
+		s.slowSince = now
+	}
 	s.observed = now
 }
 
--- a/pkg/coordination/placer/placer_test.go
+++ b/pkg/coordination/placer/placer_test.go
@@ -67,6 +67,34 @@
 	is.Equal(choose(t, p, start.Add(2*time.Second), list).Server.ID, "0")
 }
 
+// slow has a server answer ten times later than usual.
+func slow(p *Placer, now time.Time, s *lister.Server) {
+	p.Sent(now, s)
+	p.Ended(now, s.ID, now, Result{Outcome: Answered, Latency: 10 * work, Work: work})
+}
+
+// TestServerSlowForLongIsSuspect lets one server be slow twice, which a pause
+// isn't, and another report it.
+func TestServerSlowForLongIsSuspect(t *testing.T) {
+	is := is.New(t)
+	p := testPlacer()
+	list := servers("near", "far")
+	slow(p, start, list[0])
+	is.True(!choose(t, p, start.Add(2*time.Second), list).Suspect) // a pause
+	slow(p, start.Add(2*time.Second), list[0])
+	is.True(!choose(t, p, start.Add(3*time.Second), list).Suspect) // it counts yet
+	later := start.Add(4 * time.Second)
+	is.True(choose(t, p, later, list).Suspect)
+	choice, ok := p.ChooseKnown(later, list, nil, work)
+	is.True(ok)
+	is.Equal(choice.Server.ID, "1")
+	p.Ended(later, "0", later, Result{Outcome: Answered, Latency: work, Work: work})
+	is.True(!choose(t, p, later.Add(2*time.Second), list).Suspect)
+
+	p.Ended(later, "0", later, Result{Outcome: Answered, Latency: work, Work: work, Load: &Load{Pace: 4}})
+	is.True(choose(t, p, later.Add(2*time.Second), list).Suspect)
+}
+
 // TestFailingServerGetsSingleTries fails a server and follows its suspension.
 func TestFailingServerGetsSingleTries(t *testing.T) {
 	is := is.New(t)
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -32,6 +32,9 @@
 	noServerRetry = 500 * time.Millisecond
 	// overloadRetry is the least time after which a refused caller may come back.
 	overloadRetry = 50 * time.Millisecond
+	// trialShare is the part of the shards that an answer may lack which a query
+	// risks to try servers that were slow; the rest is for pauses and failures.
+	trialShare = 0.25
 	// tryInterval is how often a request that seems hopeless is sent to find out.
 	tryInterval = 300 * time.Millisecond
 	// coverageSlack absorbs the rounding of a coverage in parts.
@@ -194,11 +197,10 @@
 func (m *Machine) arrived(now time.Time, e *Arrived) {
 	f := m.newFlight(now, e)
 	m.flights[f.id] = f
-	choices := make([]placer.Choice, len(f.parts))
+	choices := m.chooseAll(now, f)
 	sound := 0
-	for i := range f.parts {
-		choices[i], _ = m.choose(now, f, &f.parts[i])
-		if choices[i].Server != nil && !choices[i].Doubtful {
+	for _, choice := range choices {
+		if choice.Server != nil && !choice.Doubtful {
 			sound++
 		}
 	}
@@ -227,6 +229,27 @@
 	m.conclude(now, f)
 }
 
+// chooseAll chooses a server for each part. Many servers that turned slow would
+// have as many tries at once when that is forgotten, more than a query may lack:
+// it makes a few, beginning with another part each time.
+func (m *Machine) chooseAll(now time.Time, f *flight) []placer.Choice {
+	choices := make([]placer.Choice, len(f.parts))
+	tries := max(1, int(trialShare*float64(len(f.parts)-f.needed())))
+	for k := range f.parts {
+		i := (k + int(f.id%uint64(len(f.parts)))) % len(f.parts)
+		choices[i], _ = m.choose(now, f, &f.parts[i])
+		if !choices[i].Suspect {
+			continue
+		}
+		if tries > 0 {
+			tries--
+			continue
+		}
+		choices[i], _ = m.chooseKnown(now, f, &f.parts[i])
+	}
+	return choices
+}
+
 // sendAll sends the first attempts of a request, those of a slice as one.
 func (m *Machine) sendAll(now time.Time, f *flight, choices []placer.Choice, foreign *slice) {
 	for i := range f.parts {
@@ -374,6 +397,19 @@
 	return m.placer.Choose(now, m.directory.Servers(p.service), p.tried, time.Duration(f.stats.work))
 }
 
+// chooseKnown chooses a server that is no suspect, where there is one.
+func (m *Machine) chooseKnown(now time.Time, f *flight, p *part) (placer.Choice, bool) {
+	choice, ok := m.choose(now, f, p)
+	if !choice.Suspect {
+		return choice, ok
+	}
+	known, found := m.placer.ChooseKnown(now, m.directory.Servers(p.service), p.tried, time.Duration(f.stats.work))
+	if found && !known.Doubtful {
+		return known, true
+	}
+	return choice, ok
+}
+
 // open takes a new attempt into the books.
 func (m *Machine) open(now time.Time, f *flight, i int, server *lister.Server) *attempt {
 	p := &f.parts[i]
@@ -521,7 +557,7 @@
 	if !mayRepeat || p.runs >= f.route.Attempts || len(p.tried) >= f.route.Attempts+extraSends || !now.Before(f.deadline) {
 		return e.Code
 	}
-	choice, ok := m.choose(now, f, p)
+	choice, ok := m.chooseKnown(now, f, p)
 	if !ok || choice.Doubtful {
 		return e.Code
 	}
@@ -594,7 +630,7 @@
 		if p.settled || len(p.open) != 1 || p.open[0].server == nil || p.runs >= f.route.Attempts {
 			continue
 		}
-		choice, ok := m.choose(now, f, p)
+		choice, ok := m.chooseKnown(now, f, p)
 		if !ok || choice.Doubtful || !now.Add(f.stats.expect(choice)).Before(f.deadline) {
 			continue
 		}
--- a/pkg/coordination/scatterer/scatterer_test.go
+++ b/pkg/coordination/scatterer/scatterer_test.go
@@ -236,6 +236,52 @@
 }
 
 // TestServersOwnFailureGoesToTheCaller has no attempt left after a failure.
+// TestQueryTriesFewServersThatWereSlow has a slow server in some shards. Once that
+// is forgotten, a query tries one of them, and later ones the others.
+func TestQueryTriesFewServersThatWereSlow(t *testing.T) {
+	is := is.New(t)
+	const shards, slow = "abcdefghijklmnopqrst", 4
+	d := newDirectory(shards, 2)
+	for _, servers := range d {
+		servers[1].Domain = "far" // so that the others come first
+	}
+	m := New(Config{
+		Placer:       placer.Config{Domain: "d", ForeignCost: 1, Memory: 1500 * time.Millisecond},
+		AnswerMargin: margin, Hosts: 1,
+	}, d)
+	now := start
+	query := func(request uint64) (tried []string) {
+		sends := of[*Send](arrive(m, now, request, sharded(shards, 0.9)))
+		var late []*Send
+		for _, send := range sends {
+			if send.Server.ID[1] == '0' && send.Part < slow {
+				tried = append(tried, send.Server.ID)
+				late = append(late, send)
+				continue
+			}
+			end(m, now.Add(objective/workShare), send, classifier.OK)
+		}
+		for _, send := range late {
+			end(m, now.Add(objective), send, classifier.OK)
+		}
+		return tried
+	}
+	request := uint64(0)
+	for ; now.Before(start.Add(4 * time.Second)); now = now.Add(200 * time.Millisecond) {
+		request++
+		query(request)
+	}
+	now = now.Add(3 * time.Second)
+	seen := make(map[string]bool)
+	for range slow {
+		request++
+		tried := query(request)
+		is.Equal(len(tried), 1)
+		seen[tried[0]] = true
+	}
+	is.Equal(len(seen), slow)
+}
+
 func TestServersOwnFailureGoesToTheCaller(t *testing.T) {
 	is := is.New(t)
 	m := testMachine(newDirectory("a", 3))
