pkg/coordination/placer: a server slow for long is taken at its last latency

Cause: the mean of a server that turned ten times as slow begins at 1 and reaches 2.2 to 3.6 with its first slow answer, less than what two requests in front of a usual server count.

Now the second slow answer half a second or more after the first one sets the factor to what was seen, if that is more than the mean.

--- a/pkg/coordination/placer/placer.go
+++ b/pkg/coordination/placer/placer.go
@@ -375,6 +375,9 @@
 		s.slowSince = time.Time{}
 	case s.slowSince.IsZero():
 		s.slowSince = now
+	case now.Sub(s.slowSince) >= slowSpan:
+		// No pause: a mean that begins at 1 would bring it work for long.
+		s.factor = max(s.factor, factor)
 	}
 	s.observed = now
 }
--- a/pkg/coordination/placer/placer_test.go
+++ b/pkg/coordination/placer/placer_test.go
@@ -73,6 +73,21 @@
 	p.Ended(now, s.ID, now, Result{Outcome: Answered, Latency: 10 * work, Work: work})
 }
 
+// TestServerSlowForLongIsLeftToAQueue lets a server be slow twice, and the other
+// have a queue that takes less time.
+func TestServerSlowForLongIsLeftToAQueue(t *testing.T) {
+	is := is.New(t)
+	p := testPlacer()
+	list := servers("near", "near")
+	slow(p, start, list[0])
+	again := start.Add(slowSpan)
+	slow(p, again, list[0])
+	for range 3 {
+		p.Sent(again, list[1])
+	}
+	is.Equal(choose(t, p, again, list).Server.ID, "1")
+}
+
 // TestServerSlowForLongIsSuspect lets one server be slow twice, which a pause
 // isn't, and another report it.
 func TestServerSlowForLongIsSuspect(t *testing.T) {
