--- a/cmd/rhubarbpost/cmds/host.go
+++ b/cmd/rhubarbpost/cmds/host.go
@@ -61,6 +61,7 @@
 	f, err := forwarder.New(forwarder.Config{
 		Settings: settings, OpenStore: func(address string) forwarder.Store { return adapter.OpenStore(address) }, Layout: adapter.Layout(), Dialect: adapter.Dialect{},
 		Documents: adapter.Documents{}, Merger: merger.New(adapter.Records{}), Logger: log,
+		LinesDropped: lines.Dropped,
 	})
 	if err != nil {
 		var open *listener.OpenError
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -48,13 +49,23 @@
 type client struct {
 	transport *http.Transport
 	dialect   Dialect
-	opened    *atomic.Int64
+	// opened counts the connections opened so far, open those in use or idle.
+	opened *atomic.Uint64
+	open   *atomic.Int64
 }
 
 // countedConn counts the bytes written, so that a request that never left is known as not run.
 type countedConn struct {
 	net.Conn
 	written atomic.Int64
+	closing sync.Once
+	closed  func()
+}
+
+// Close closes the connection and takes it out of the count.
+func (c *countedConn) Close() error {
+	c.closing.Do(c.closed)
+	return c.Conn.Close()
 }
 
 // Write counts what the connection has taken.
@@ -65,7 +76,7 @@
 }
 
 func newClient(dialect Dialect) *client {
-	c := &client{dialect: dialect, opened: new(atomic.Int64)}
+	c := &client{dialect: dialect, opened: new(atomic.Uint64), open: new(atomic.Int64)}
 	dial := Dialer(dialTimeout)
 	c.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -74,7 +85,8 @@
 				return nil, err
 			}
 			c.opened.Add(1)
-			return &countedConn{Conn: conn}, nil
+			c.open.Add(1)
+			return &countedConn{Conn: conn, closed: func() { c.open.Add(-1) }}, nil
 		},
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -12,26 +13,68 @@
 
 // counters are the metrics of a host.
 type counters struct {
-	set       *metrics.Set
-	abandoned *metrics.Counter
-	servers   *metrics.Gauge
-	hosts     *metrics.Gauge
-	version   *metrics.Gauge
+	set         *metrics.Set
+	abandoned   *metrics.Counter
+	servers     *metrics.Gauge
+	hosts       *metrics.Gauge
+	version     *metrics.Gauge
+	extraLeft   *metrics.Gauge
+	extraDenied *metrics.Counter
+	missing     *metrics.Counter
 }
 
 func newCounters() *counters {
 	set := metrics.NewSet()
 	return &counters{
-		set:       set,
-		abandoned: set.NewCounter("rhubarbpost_requests_abandoned_total"),
-		servers:   set.NewGauge("rhubarbpost_servers_usable", nil),
-		hosts:     set.NewGauge("rhubarbpost_hosts_known", nil),
-		version:   set.NewGauge("rhubarbpost_config_version", nil),
+		set:         set,
+		abandoned:   set.NewCounter("rhubarbpost_requests_abandoned_total"),
+		servers:     set.NewGauge("rhubarbpost_servers_usable", nil),
+		hosts:       set.NewGauge("rhubarbpost_hosts_known", nil),
+		version:     set.NewGauge("rhubarbpost_config_version", nil),
+		extraLeft:   set.NewGauge("rhubarbpost_extra_attempts_left", nil),
+		extraDenied: set.NewCounter("rhubarbpost_extra_attempts_denied_total"),
+		missing:     set.NewCounter("rhubarbpost_parts_missing_total"),
 	}
 }
 
+// follow adds what is read when the metrics are.
+func (c *counters) follow(f *Forwarder) {
+	gauge := func(name string, value func() float64) { c.set.NewGauge("rhubarbpost_"+name, value) }
+	counter := func(name string, value func() uint64) {
+		c.set.NewGauge("rhubarbpost_"+name, func() float64 { return float64(value()) })
+	}
+	gauge("requests_in_flight", func() float64 { return float64(f.callers.InFlight()) })
+	gauge("server_connections_open", func() float64 { return float64(f.client.open.Load()) })
+	counter("server_connections_opened_total", f.client.opened.Load)
+	gauge("config_age_seconds", func() float64 { return ageSeconds(&f.confirmed) })
+	gauge("servers_age_seconds", func() float64 { return ageSeconds(&f.listed) })
+	if f.cfg.LinesDropped != nil {
+		counter("log_lines_dropped_total", f.cfg.LinesDropped)
+	}
+}
+
+// ageSeconds returns the time since a moment in nanoseconds of the epoch, -1 if it has not come.
+func ageSeconds(at *atomic.Int64) float64 {
+	nanos := at.Load()
+	if nanos == 0 {
+		return -1
+	}
+	return time.Since(time.Unix(0, nanos)).Seconds()
+}
+
+// budget notes the second attempts left and denied.
+func (c *counters) budget(m *scatterer.Machine) {
+	left, ok := m.ExtraLeft()
+	if ok {
+		c.extraLeft.Set(left)
+	}
+	c.extraDenied.Set(m.ExtraDenied())
+}
+
 // answered notes an answered request by the kind of its route.
-func (c *counters) answered(route *matcher.Route, took time.Duration, whole bool) {
+func (c *counters) answered(route *matcher.Route, took time.Duration, missing int) {
+	c.missing.Add(missing)
+	whole := missing == 0
 	kind := "single"
 	_, ok := route.Target.(*matcher.Sharded)
 	if ok {
@@ -45,8 +88,13 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_requests_refused_total{result=%q}", code)).Inc()
 }
 
-func (c *counters) sent(reason scatterer.Reason) {
-	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_attempts_sent_total{reason=%q}", reason)).Inc()
+// sent notes an attempt by its reason and by whether it stays in the own failure domain.
+func (c *counters) sent(reason scatterer.Reason, own bool) {
+	domain := "other"
+	if own {
+		domain = "own"
+	}
+	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_attempts_sent_total{reason=%q,domain=%q}", reason, domain)).Inc()
 }
 
 func (c *counters) attempt(code classifier.Code) {
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -104,6 +104,7 @@
 // engine runs the scatterer in one goroutine and carries out its actions.
 type engine struct {
 	log      *logger.Logger
+	domain   string
 	metrics  *counters
 	client   *client
 	ring     *ringer.Ring[event]
@@ -132,7 +133,7 @@
 	servers := lister.New(lister.Config{Retention: retention})
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &engine{
-		log: cfg.Logger, metrics: metrics, client: c, checkStore: checkStore, passSlice: passSlice,
+		log: cfg.Logger, domain: cfg.Settings.Domain, metrics: metrics, client: c, checkStore: checkStore, passSlice: passSlice,
 		ring:     ringer.New[event](eventRing),
 		machine:  scatterer.New(cfg.Settings.scatterer(), servers),
 		servers:  servers,
@@ -182,6 +183,7 @@
 		case <-expiry.C:
 			e.unlist(e.servers.Expire(time.Now()), "lapsed")
 			e.assess(time.Now())
+			e.metrics.budget(e.machine)
 		case <-e.ctx.Done():
 			return
 		}
@@ -294,7 +296,7 @@
 		e.log.Info(logger.AttemptSent, "request", r.call.ID, "server", a.Server.ID, "domain", a.Server.Domain,
 			"part", a.Part, "reason", string(a.Reason), "expectedMillis", a.Expected.Milliseconds())
 	}
-	e.metrics.sent(a.Reason)
+	e.metrics.sent(a.Reason, a.Server.Domain == e.domain)
 	e.exchanges.Go(func() {
 		answer := e.client.exchange(ctx, r.call, r.outbound, a.Server, a.Deadline)
 		e.push(ending{attempt: a.Attempt, answer: answer})
@@ -308,7 +310,7 @@
 	open := len(a.Attempts)
 	there := &lister.Server{Domain: a.Domain}
 	for _, id := range a.Attempts {
-		e.metrics.sent(scatterer.ReasonFirst)
+		e.metrics.sent(scatterer.ReasonFirst, false)
 		e.sendings[id] = sending{request: a.Request, server: there, cancel: sync.OnceFunc(func() {
 			open--
 			if open == 0 {
@@ -337,7 +339,7 @@
 		}
 	}
 	if !r.slice {
-		e.metrics.answered(r.route, a.Took, covered == len(answers))
+		e.metrics.answered(r.route, a.Took, len(answers)-covered)
 	}
 	e.completed++
 	if covered < len(answers) || e.completed%sampleEvery == 0 {
--- a/internal/forwarder/follower.go
+++ b/internal/forwarder/follower.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
@@ -120,13 +121,16 @@
 
 // confirm notes that the store has just told the newest of a prefix.
 func (f *Forwarder) confirm(prefix string) {
-	if prefix == f.cfg.Layout.ConfigPrefix {
-		f.confirmAt(time.Now())
+	switch prefix {
+	case f.cfg.Layout.ConfigPrefix:
+		advance(&f.confirmed, time.Now())
+	case f.cfg.Layout.ServerPrefix:
+		advance(&f.listed, time.Now())
 	}
 }
 
-func (f *Forwarder) confirmAt(at time.Time) {
-	f.confirmed.Store(max(f.confirmed.Load(), at.UnixNano()))
+func advance(held *atomic.Int64, at time.Time) {
+	held.Store(max(held.Load(), at.UnixNano()))
 }
 
 // source says where objects come from.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -37,6 +37,8 @@
 	Documents Documents
 	Merger    Merger
 	Logger    *logger.Logger
+	// LinesDropped returns how many lines the log has left out; nil if it leaves out none.
+	LinesDropped func() uint64
 }
 
 // Store is a client of a platform's store.
@@ -76,12 +78,15 @@
 	sourceMu sync.Mutex
 	source   *watcher.Source
 	// lost counts the prefixes that the store doesn't answer for.
-	lost        atomic.Int64
-	checking    atomic.Bool
-	checks      sync.WaitGroup
-	table       atomic.Pointer[matcher.Table]
-	adopting    sync.Mutex
+	lost     atomic.Int64
+	checking atomic.Bool
+	checks   sync.WaitGroup
+	table    atomic.Pointer[matcher.Table]
+	adopting sync.Mutex
+	// confirmed and listed are when the store last told the newest of the
+	// configuration and of the list of backend servers, in nanoseconds of the epoch.
 	confirmed   atomic.Int64
+	listed      atomic.Int64
 	lastRequest atomic.Uint64
 	stopping    atomic.Bool
 	closing     sync.Once
@@ -101,6 +106,7 @@
 		f.Close()
 		return nil, err
 	}
+	f.metrics.follow(f)
 	f.workers.Go(func() { f.follow(ctx, cfg.Layout.ConfigPrefix) })
 	f.workers.Go(func() { f.follow(ctx, cfg.Layout.ServerPrefix) })
 	f.workers.Go(func() { f.askPeers(ctx) })
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -118,7 +118,8 @@
 	f.sourceMu.Lock()
 	f.source.Told(begun, fetched.Age)
 	f.sourceMu.Unlock()
-	f.confirmAt(begun.Add(-fetched.Age))
+	advance(&f.confirmed, begun.Add(-fetched.Age))
+	advance(&f.listed, begun.Add(-fetched.Age))
 }
 
 // holdsServers reports whether objects list a backend server.
--- a/internal/lab/standin/store.go
+++ b/internal/lab/standin/store.go
@@ -117,11 +117,10 @@
 	writeJSON(w, faults)
 }
 
-// serializableCalls names the reads that may be old among the calls.
-const serializableCalls = "serializable"
+// OldWatches names the watches among the calls whose answers may be old.
+const OldWatches = "serializable watch"
 
-// Calls returns how many calls of a method there were; "serializable" names
-// those among them whose answers may be old.
+// Calls returns how many calls of a method, or OldWatches, there were.
 func (s *Store) Calls(method string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -153,8 +152,8 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.calls[r.Method]++
-		if serializable(r) {
-			s.calls[serializableCalls]++
+		if serializable(r) && r.URL.Query().Has("watch") {
+			s.calls[OldWatches]++
 		}
 		faults, healed := s.faults, s.healed
 		s.mu.Unlock()
--- a/pkg/coordination/limiter/budget.go
+++ b/pkg/coordination/limiter/budget.go
@@ -33,6 +33,11 @@
 	return true
 }
 
+// Left returns the number of extra sub-requests that may be sent now.
+func (b *Budget) Left() float64 {
+	return b.tokens
+}
+
 // WithCapacity returns a budget with another capacity that keeps its tokens as
 // far as they fit.
 func (b Budget) WithCapacity(capacity float64) Budget {
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -113,6 +113,7 @@
 	attempts  map[uint64]*attempt
 	routes    map[routeKey]*routeStats
 	budgets   map[string]*limiter.Budget
+	denied    uint64
 	last      uint64
 	alarms    waker.Alarms[*flight]
 	out       []Action
@@ -149,6 +150,23 @@
 	}
 }
 
+// ExtraLeft returns the second attempts left to the service that has the fewest,
+// and whether any service has had requests.
+func (m *Machine) ExtraLeft() (left float64, ok bool) {
+	for _, budget := range m.budgets {
+		if !ok || budget.Left() < left {
+			left, ok = budget.Left(), true
+		}
+	}
+	return left, ok
+}
+
+// ExtraDenied returns how many second attempts were not sent since the budget
+// of their service was used up.
+func (m *Machine) ExtraDenied() uint64 {
+	return m.denied
+}
+
 // Forget drops what was seen of a server that is no longer listed.
 func (m *Machine) Forget(id string) {
 	m.placer.Forget(id)
@@ -562,7 +580,7 @@
 		return e.Code
 	}
 	// The first attempt that reaches a server is none beside the request.
-	if p.arrivals > 0 && !m.budget(p.service).Spend() {
+	if p.arrivals > 0 && !m.spend(p.service) {
 		return e.Code
 	}
 	m.send(now, f, i, choice, ReasonRetry)
@@ -634,7 +652,7 @@
 		if !ok || choice.Doubtful || !now.Add(f.stats.expect(choice)).Before(f.deadline) {
 			continue
 		}
-		if m.budget(p.service).Spend() {
+		if m.spend(p.service) {
 			m.send(now, f, i, choice, ReasonLate)
 		}
 	}
@@ -751,6 +769,16 @@
 	delete(m.flights, f.id)
 }
 
+// spend takes a second attempt from the budget of a service and reports whether
+// there was one.
+func (m *Machine) spend(service string) bool {
+	ok := m.budget(service).Spend()
+	if !ok {
+		m.denied++
+	}
+	return ok
+}
+
 // burst is this host's part of the extra attempts on top of the ratio.
 func (m *Machine) burst() float64 {
 	return m.cfg.ExtraBurst / float64(max(m.cfg.Hosts, 1))
