pkg/coordination/placer: suspects by their latency only

Cause: the pace that servers of the grown sites report changes many times a second; taken for a sign of a slow server it makes suspects of sound ones.

--- a/pkg/coordination/placer/placer.go
+++ b/pkg/coordination/placer/placer.go
@@ -278,10 +278,7 @@
 
 // suspect reports whether the server was slow for long at a time that counts no more.
 func (s *server) suspect(now time.Time, memory time.Duration) bool {
-	if now.Sub(s.observed) <= memory {
-		return false
-	}
-	return s.load.Pace >= slowFactor || !s.slowSince.IsZero() && s.observed.Sub(s.slowSince) >= slowSpan
+	return now.Sub(s.observed) > memory && !s.slowSince.IsZero() && s.observed.Sub(s.slowSince) >= slowSpan
 }
 
 func (p *Placer) suspended(now time.Time, held *server) bool {
