internal/lab/standin: backend servers have slots and a queue

A stand-in server ran any number of requests at once and always reported one that runs and none that waits, so that no test met a full server. It has two slots and a queue of 32 now, reports both, and refuses as not run what is beyond.

--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -15,6 +15,14 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+const (
+	// serverSlots is how many requests a server runs at once, as on the smallest
+	// servers of the platform's sites.
+	serverSlots = 2
+	// serverQueue is how many requests wait at a server before it refuses more.
+	serverQueue = 32
+)
+
 // Behaviour is how a backend server treats the next requests.
 type Behaviour struct {
 	// Delay is the time of work.
@@ -61,6 +69,9 @@
 	conns    map[net.Conn]bool
 	opened   atomic.Int64
 	workers  sync.WaitGroup
+	// slots holds a value for each request that runs; waiting counts those in the queue.
+	slots   chan struct{}
+	waiting atomic.Int64
 }
 
 // NewServer opens the socket of a server and begins to serve.
@@ -69,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ID: id, Service: service, Domain: domain, socket: socket, conns: make(map[net.Conn]bool)}
+	s := &Server{ID: id, Service: service, Domain: domain, socket: socket, conns: make(map[net.Conn]bool), slots: make(chan struct{}, serverSlots)}
 	s.workers.Go(s.accept)
 	return s, nil
 }
@@ -81,7 +92,7 @@
 func (s *Server) Entry(state string) map[string]any {
 	return map[string]any{
 		"service": s.Service, "address": s.Address(), "zone": s.Domain, "version": "v1",
-		"max_concurrency": 2, "state": state, "warmup_left_ms": 0, "sequence": 1, "born": 1,
+		"max_concurrency": serverSlots, "state": state, "warmup_left_ms": 0, "sequence": 1, "born": 1,
 	}
 }
 
@@ -158,8 +169,8 @@
 	if expected != "" && expected != s.ID {
 		return s.write(conn, 421, id, nil, "X-Instance-Id: "+s.ID)
 	}
-	if b.Shed {
-		return s.write(conn, 503, id, nil, "X-Not-Executed: 1")
+	if b.Shed || !s.enter() {
+		return s.write(conn, 503, id, nil, "X-Not-Executed: 1", s.load())
 	}
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, Arrival{
@@ -167,6 +178,8 @@
 	})
 	s.mu.Unlock()
 	time.Sleep(b.Delay)
+	load := s.load()
+	<-s.slots
 	stamp := "X-Server-Stamp: " + s.Stamp(id)
 	switch {
 	case b.Reset:
@@ -177,7 +190,7 @@
 	case b.Status != 0:
 		return s.write(conn, b.Status, id, []byte("failure of "+s.ID), stamp)
 	}
-	open := s.write(conn, 200, id, s.body(), stamp, "X-Server-Load: 1,0,2")
+	open := s.write(conn, 200, id, s.body(), stamp, load)
 	if b.Extra {
 		time.Sleep(b.ExtraDelay)
 		s.write(conn, 200, id, []byte("answer to no request"), stamp)
@@ -185,6 +198,22 @@
 	return open && !b.CloseIdle
 }
 
+// enter waits for a slot and reports whether there was room in the queue.
+func (s *Server) enter() bool {
+	if s.waiting.Add(1) > serverQueue {
+		s.waiting.Add(-1)
+		return false
+	}
+	s.slots <- struct{}{}
+	s.waiting.Add(-1)
+	return true
+}
+
+// load reports the requests that run and wait, and the slots.
+func (s *Server) load() string {
+	return fmt.Sprintf("X-Server-Load: %d,%d,%d", len(s.slots), s.waiting.Load(), serverSlots)
+}
+
 // Stamp returns the signature of an answer to a request.
 func (s *Server) Stamp(id string) string {
 	return fmt.Sprintf("%s.%x", s.ID, xxhash.Sum64String(id))
