--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -37,9 +37,10 @@
 	}
 }
 
-// follow adds what is read when the metrics are.
-func (c *counters) follow(f *Forwarder) {
+// export adds the metrics whose values a host holds elsewhere.
+func (c *counters) export(f *Forwarder) {
 	gauge := func(name string, value func() float64) { c.set.NewGauge("rhubarbpost_"+name, value) }
+	// The library has no counter that is read from a function.
 	counter := func(name string, value func() uint64) {
 		c.set.NewGauge("rhubarbpost_"+name, func() float64 { return float64(value()) })
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -106,7 +106,7 @@
 		f.Close()
 		return nil, err
 	}
-	f.metrics.follow(f)
+	f.metrics.export(f)
 	f.workers.Go(func() { f.follow(ctx, cfg.Layout.ConfigPrefix) })
 	f.workers.Go(func() { f.follow(ctx, cfg.Layout.ServerPrefix) })
 	f.workers.Go(func() { f.askPeers(ctx) })
