internal/forwarder: peers are asked in turn

Seven hosts of a domain that was cut off drew the second one four times in a row, which had not noticed the cut yet, and left the rotation 2 s after the others.

--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -55,7 +55,8 @@
 func (f *Forwarder) askPeers(ctx context.Context) {
 	client := connector.NewClient()
 	defer client.CloseIdleConnections()
-	for {
+	// One after the other from a random start, so that none is passed over for long.
+	for turn := rand.Int(); ; turn++ {
 		sleeper.Sleep(ctx, askInterval)
 		if ctx.Err() != nil {
 			return
@@ -65,7 +66,7 @@
 			peers = f.peers()
 		}
 		if len(peers) > 0 {
-			f.ask(ctx, client, peers[rand.IntN(len(peers))])
+			f.ask(ctx, client, peers[turn%len(peers)])
 		}
 	}
 }
