internal/forwarder: a request that is given up is dropped with a reset

The connection had been closed in order, and the kernel went on to deliver what it held. An order would have run then.

A connection on which a request has no answer yet is closed with a reset, towards servers, other hosts and the store. Ruled out: the time-out for unacknowledged bytes, which is set already and does not end a socket that is closed.

--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -54,30 +55,58 @@
 	open   *atomic.Int64
 }
 
-// countedConn counts the bytes written, so that a request that never left is known as not run.
-type countedConn struct {
-	net.Conn
+// requestConn is a connection for requests, one after the other.
+type requestConn struct {
+	*net.TCPConn
+	// written counts bytes, so that a request that never left is known as not run.
 	written atomic.Int64
+	// unanswered says that nothing has been read since the last write.
+	unanswered atomic.Bool
+}
+
+// Write counts what the connection has taken.
+func (c *requestConn) Write(p []byte) (int, error) {
+	c.unanswered.Store(true)
+	n, err := c.TCPConn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// Read notes that an answer has begun.
+func (c *requestConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.unanswered.Store(false)
+	}
+	return n, err
+}
+
+// Close closes the connection. A request that has no answer is given up, and the
+// kernel must not deliver it when a cut has healed.
+func (c *requestConn) Close() error {
+	if c.unanswered.Load() {
+		// Without it the close is an orderly one, as before.
+		_ = c.SetLinger(0)
+	}
+	return c.TCPConn.Close()
+}
+
+// countedConn takes itself out of a count when it is closed.
+type countedConn struct {
+	*requestConn
 	closing sync.Once
 	closed  func()
 }
 
-// Close closes the connection and takes it out of the count.
+// Close closes the connection.
 func (c *countedConn) Close() error {
 	c.closing.Do(c.closed)
-	return c.Conn.Close()
-}
-
-// Write counts what the connection has taken.
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.written.Add(int64(n))
-	return n, err
+	return c.requestConn.Close()
 }
 
 func newClient(dialect Dialect) *client {
 	c := &client{dialect: dialect, opened: new(atomic.Uint64), open: new(atomic.Int64)}
-	dial := Dialer(dialTimeout)
+	dial := dialer(dialTimeout)
 	c.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
@@ -86,7 +115,7 @@
 			}
 			c.opened.Add(1)
 			c.open.Add(1)
-			return &countedConn{Conn: conn, closed: func() { c.open.Add(-1) }}, nil
+			return &countedConn{requestConn: conn, closed: func() { c.open.Add(-1) }}, nil
 		},
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
@@ -97,9 +126,21 @@
 	return c
 }
 
-// Dialer returns a dial function whose connections end when the other side has gone silent.
+// Dialer returns a dial function whose connections end when the other side has
+// gone silent, and drop a request that is given up.
 func Dialer(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := &net.Dialer{
+	dial := dialer(timeout)
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return conn, nil
+	}
+}
+
+func dialer(timeout time.Duration) func(ctx context.Context, network, address string) (*requestConn, error) {
+	d := &net.Dialer{
 		Timeout:         timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 2},
 		Control: func(_, _ string, raw syscall.RawConn) error {
@@ -110,7 +151,18 @@
 			return errors.Join(err, optionErr)
 		},
 	}
-	return dialer.DialContext
+	return func(ctx context.Context, network, address string) (*requestConn, error) {
+		conn, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := conn.(*net.TCPConn)
+		if !ok {
+			_ = conn.Close()
+			return nil, fmt.Errorf("%s %s is no TCP connection", network, address)
+		}
+		return &requestConn{TCPConn: tcp}, nil
+	}
 }
 
 // emptyBody is a body without bytes that net/http can't take for none, so that
