--- a/pkg/coordination/placer/placer_test.go
+++ b/pkg/coordination/placer/placer_test.go
@@ -61,8 +61,7 @@
 	is := is.New(t)
 	p := testPlacer()
 	list := servers("near", "far")
-	p.Sent(start, list[0])
-	p.Ended(start, "0", start, Result{Outcome: Answered, Latency: 10 * work, Work: work})
+	slow(p, start, list[0])
 	is.Equal(choose(t, p, start, list).Server.ID, "1")
 	is.Equal(choose(t, p, start.Add(2*time.Second), list).Server.ID, "0")
 }
--- a/pkg/coordination/scatterer/scatterer_test.go
+++ b/pkg/coordination/scatterer/scatterer_test.go
@@ -235,7 +235,6 @@
 	is.Equal(len(end(m, at, first, classifier.OK)), 0) // the loser's late answer
 }
 
-// TestServersOwnFailureGoesToTheCaller has no attempt left after a failure.
 // TestQueryTriesFewServersThatWereSlow has a slow server in some shards. Once that
 // is forgotten, a query tries one of them, and later ones the others.
 func TestQueryTriesFewServersThatWereSlow(t *testing.T) {
@@ -282,6 +281,7 @@
 	is.Equal(len(seen), slow)
 }
 
+// TestServersOwnFailureGoesToTheCaller has no attempt left after a failure.
 func TestServersOwnFailureGoesToTheCaller(t *testing.T) {
 	is := is.New(t)
 	m := testMachine(newDirectory("a", 3))
