pkg/coordination/delegator: only hosts of about equal speed gather queries

Cause: on the large site 175 connections / 8 / 5 domains give four gathering hosts a failure domain, but a domain has three large hosts (0.8 core, 200 Mbit/s). The fourth has 0.192 core and takes four times as long for each of the 180 parts; 605 to 870 of some 950 answers lacked parts. Besides, hosts with 0.2 queries a second have no latency of a gathering host younger than 1.5 s, so that all of them took the first one in the list.

Now a host gathers by what its processor and its link carry: as many as the connections allow, but none that takes over twice as long as the fastest. Others stand in reserve while none of those seems to serve. The order in which a host tries them is a rendezvous hash weighted by what they carry, so load is shared by capacity and a lost host moves its callers only. A gathering host counts with 6 connections, three times what it keeps idle: with 8 a site of four domains and 60 connections had one a domain.

Ruled out: a bound by capacity alone (a narrow link is as slow); a host chosen by latencies that callers see (too few queries each).

--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -86,15 +86,19 @@
 	if plan.Direct {
 		return nil
 	}
-	return d.least(plan.Gatherers, tried, work)
+	host := d.least(plan.Gatherers, tried, work)
+	if host == nil {
+		host = d.least(plan.Reserves, tried, work)
+	}
+	return host
 }
 
 // chooseIn returns a host of a failure domain for a slice of a query, or nil if
 // none is known there that seems to serve.
-func (d *delegate) chooseIn(domain string, connections int, work time.Duration) *lister.Server {
+func (d *delegate) chooseIn(self delegator.Host, domain string, connections int, work time.Duration) *lister.Server {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.least(delegator.Peers(domain, d.hosts, connections), nil, work)
+	return d.least(delegator.Peers(self, domain, d.hosts, connections), nil, work)
 }
 
 // least returns the host that is expected to answer first and notes the send.
@@ -241,7 +245,7 @@
 
 func (f *Forwarder) self() delegator.Host {
 	s := f.Settings()
-	return delegator.Host{Name: s.Name, Domain: s.Domain, Address: s.Listen.Control, Capacity: s.Capacity}
+	return delegator.Host{Name: s.Name, Domain: s.Domain, Address: s.Listen.Control, Capacity: s.Capacity, Link: s.Link}
 }
 
 // readHosts decodes the entries that hosts have in the store.
@@ -258,7 +262,7 @@
 			continue
 		}
 		name := object.Key[len(f.cfg.Layout.HostPrefix):]
-		hosts = append(hosts, delegator.Host{Name: name, Domain: m.Domain, Address: m.Control, Capacity: m.Capacity})
+		hosts = append(hosts, delegator.Host{Name: name, Domain: m.Domain, Address: m.Control, Capacity: m.Capacity, Link: m.Link})
 	}
 	return hosts
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -157,7 +157,7 @@
 func (f *Forwarder) Reload(next Settings) {
 	held := f.Settings()
 	next.Name, next.Domain, next.Listen, next.Log = held.Name, held.Domain, held.Listen, held.Log
-	next.Capacity = held.Capacity
+	next.Capacity, next.Link = held.Capacity, held.Link
 	f.settings.Store(&next)
 	f.engine.push(extraChange{next.Extra})
 	old := f.store.Load()
--- a/internal/forwarder/members.go
+++ b/internal/forwarder/members.go
@@ -31,6 +31,8 @@
 	Domain   string  `json:"domain"`
 	Control  string  `json:"control"`
 	Capacity float64 `json:"capacity"`
+	// Link is the bandwidth of its link in Mbit/s.
+	Link float64 `json:"link"`
 }
 
 // joinAndList writes the entry of this host, then lists the hosts now and then
@@ -82,7 +84,7 @@
 func (f *Forwarder) join(ctx context.Context) error {
 	settings := f.Settings()
 	key := f.cfg.Layout.HostPrefix + settings.Name
-	own := member{Domain: settings.Domain, Control: settings.Listen.Control, Capacity: settings.Capacity}
+	own := member{Domain: settings.Domain, Control: settings.Listen.Control, Capacity: settings.Capacity, Link: settings.Link}
 	held, ok := f.objects.Get(key)
 	if !ok {
 		held.Version = storer.Absent
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -61,7 +61,9 @@
 	Domain string `json:"domain"`
 	// Capacity is the host's share of a core.
 	Capacity float64 `json:"capacity"`
-	Listen   Listen  `json:"listen"`
+	// Link is the bandwidth of the host's link in Mbit/s, 0 if it is not known.
+	Link   float64 `json:"link"`
+	Listen Listen  `json:"listen"`
 	// Seeds are control addresses of hosts that may be up.
 	Seeds []string `json:"seeds"`
 	// Store is the address of the platform's store.
@@ -115,6 +117,7 @@
 	c.that(s.Name != "", "missing", "a name", "name")
 	c.that(s.Domain != "", "missing", "a name", "domain")
 	c.that(s.Capacity > 0, "not positive", "more than 0", "capacity")
+	c.that(s.Link >= 0, "negative", "0 or more", "link")
 	c.address(s.Listen.Callers, "listen", "callers")
 	c.address(s.Listen.Readiness, "listen", "readiness")
 	c.address(s.Listen.Control, "listen", "control")
--- a/internal/forwarder/slice.go
+++ b/internal/forwarder/slice.go
@@ -42,7 +42,7 @@
 // and returns an answer for each.
 func (f *Forwarder) passSlice(ctx context.Context, r *arrival, s *scatterer.SendSlice) []*Answer {
 	connections, _ := f.connections(r.route)
-	host := f.delegate.chooseIn(s.Domain, connections, r.route.Objective)
+	host := f.delegate.chooseIn(f.self(), s.Domain, connections, r.route.Objective)
 	if host == nil {
 		return sliceFailed(s, &Answer{Code: classifier.NotSent, Err: errNoHost})
 	}
--- a/pkg/coordination/delegator/delegator.go
+++ b/pkg/coordination/delegator/delegator.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -11,12 +13,22 @@
 	// directConnections is how many connections to each backend server a host
 	// needs for direct fan-out: one for each slot of today's servers.
 	directConnections = 2
-	// gatherConnections is how many a gathering host needs, which has the
-	// queries of several hosts in flight at once.
-	gatherConnections = 8
+	// gatherConnections is how many a gathering host may need to each backend
+	// server: three times what it keeps idle, for the queries of several hosts.
+	gatherConnections = 6
 	// watchers is how many hosts of a failure domain follow the store, so that
 	// the loss of one leaves the other.
 	watchers = 2
+	// partWork is the processor time of a whole core that a part of a query takes
+	// at the host that gathers it: its half of an exchange, as in docs/CAPACITY.md.
+	partWork = 80 * time.Microsecond
+	// partMegabits is what a part moves over the host's link: an answer of 1 KB,
+	// the request and the headers of both.
+	partMegabits = 0.016
+	// speedSpread is how many times longer than at the fastest host a query may
+	// take at another one that gathers beside it. With more than two it would be
+	// served sooner behind another query at the fastest.
+	speedSpread = 2
 )
 
 // Host is a host of the system.
@@ -25,43 +37,81 @@
 	Domain string
 	// Address is where the host takes queries from other hosts.
 	Address string
-	// Capacity is its share of a core; hosts with more gather first.
+	// Capacity is its share of a core.
 	Capacity float64
+	// Link is the bandwidth of its link in Mbit/s, 0 if it is not known.
+	Link float64
+}
+
+// carry returns how many parts of queries the host gathers a second, by what
+// binds first, its processor or its link.
+func (h Host) carry() float64 {
+	parts := h.Capacity / partWork.Seconds()
+	if h.Link > 0 {
+		parts = min(parts, h.Link/partMegabits)
+	}
+	return parts
 }
 
 // Plan says how a host serves queries over many shards.
 type Plan struct {
 	// Direct means that the host fans out by itself.
 	Direct bool
-	// Gatherers are the hosts to hand queries to, of the own failure domain.
+	// Gatherers are the hosts to hand queries to, of the own failure domain, in
+	// the order in which this host tries them.
 	Gatherers []Host
+	// Reserves gather in their place while none of them seems to serve.
+	Reserves []Host
 }
 
 // New returns the plan of a host among all hosts known, for backend servers
 // that take so many connections from all hosts together; 0 is no bound.
 func New(self Host, hosts []Host, connections int) Plan {
-	if connections == 0 || len(hosts)*directConnections <= connections {
+	if fewHosts(hosts, connections) {
 		return Plan{Direct: true}
 	}
-	own := ranked(self.Domain, hosts)
-	gatherers := own[:min(gatherersIn(hosts, connections), len(own))]
+	gatherers, reserves := gathering(self.Domain, hosts, connections)
 	if len(gatherers) == 0 || slices.ContainsFunc(gatherers, func(h Host) bool { return h.Name == self.Name }) {
 		return Plan{Direct: true}
 	}
-	return Plan{Gatherers: gatherers}
+	reserves = slices.DeleteFunc(reserves, func(h Host) bool { return h.Name == self.Name })
+	return Plan{Gatherers: preferred(self, gatherers), Reserves: preferred(self, reserves)}
 }
 
 // Peers returns the hosts of a failure domain that gather the parts of queries
-// whose backend servers are there, for servers that take so many connections.
-func Peers(domain string, hosts []Host, connections int) []Host {
-	there := ranked(domain, hosts)
-	if connections == 0 || len(hosts)*directConnections <= connections {
-		return there
+// whose backend servers are there, for servers that take so many connections, in
+// the order in which a host tries them.
+func Peers(self Host, domain string, hosts []Host, connections int) []Host {
+	if fewHosts(hosts, connections) {
+		return preferred(self, ranked(domain, hosts))
 	}
-	return there[:min(gatherersIn(hosts, connections), len(there))]
+	gatherers, _ := gathering(domain, hosts, connections)
+	return preferred(self, gatherers)
+}
+
+// fewHosts reports whether all hosts may connect to each backend server.
+func fewHosts(hosts []Host, connections int) bool {
+	return connections == 0 || len(hosts)*directConnections <= connections
 }
 
-// gatherersIn returns how many hosts of each failure domain gather queries.
+// gathering returns the hosts of a failure domain that gather queries: the
+// fastest, as far as the connections of a backend server go and as far as no
+// other is much faster; and as many after them, which do so if those are gone.
+func gathering(domain string, hosts []Host, connections int) (gatherers, reserves []Host) {
+	own := ranked(domain, hosts)
+	if len(own) == 0 {
+		return nil, nil
+	}
+	n := min(gatherersIn(hosts, connections), len(own))
+	fast := 1
+	for fast < n && own[fast].carry()*speedSpread >= own[0].carry() {
+		fast++
+	}
+	return own[:fast], slices.Clone(own[fast:min(fast+n, len(own))])
+}
+
+// gatherersIn returns how many hosts of each failure domain may gather queries
+// within the connections of a backend server.
 func gatherersIn(hosts []Host, connections int) int {
 	domains := make(map[string]bool)
 	for _, host := range hosts {
@@ -80,7 +130,7 @@
 	return own[:watchers]
 }
 
-// ranked returns the hosts of a failure domain, those of the greatest capacity first.
+// ranked returns the hosts of a failure domain, those that carry most first.
 func ranked(domain string, hosts []Host) []Host {
 	var own []Host
 	for _, host := range hosts {
@@ -89,13 +139,32 @@
 		}
 	}
 	slices.SortFunc(own, func(a, b Host) int {
-		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(rank(a), rank(b)))
+		return cmp.Or(cmp.Compare(b.carry(), a.carry()), cmp.Compare(rank(a), rank(b)))
 	})
 	return own
 }
 
-// rank orders hosts of equal capacity in a way that is the same on all hosts
-// and says nothing of their names.
+// rank orders hosts of equal speed in a way that is the same on all hosts and
+// says nothing of their names.
 func rank(h Host) uint64 {
 	return xxhash.Sum64String(h.Name)
 }
+
+// preferred orders hosts by a rendezvous hash with the host that asks, weighted
+// by what they carry. Hosts with few queries have seen too little of others to
+// choose by; each keeps to its first, and all of them together share the load
+// by capacity.
+func preferred(self Host, hosts []Host) []Host {
+	ordered := slices.Clone(hosts)
+	slices.SortFunc(ordered, func(a, b Host) int {
+		return cmp.Or(cmp.Compare(weight(self, b), weight(self, a)), cmp.Compare(a.Name, b.Name))
+	})
+	return ordered
+}
+
+// weight is the weighted rendezvous hash of two hosts.
+func weight(self, other Host) float64 {
+	// A number above 0 and below 1.
+	hash := (float64(xxhash.Sum64String(self.Name+"/"+other.Name)>>11) + 0.5) / (1 << 53)
+	return -other.carry() / math.Log(hash)
+}
