internal/forwarder: hosts that start learn from their seeds

Now a host with seeds leaves the store to them until one has told all it holds, 1.5 s at most, and asks its seeds until it finds itself on the list of hosts; then those of its failure domain that follow the store. It writes its entry and reads nothing. Seeds themselves read the store at once. A list of servers that came in part no longer counts as whole.

Ruled out: entries of hosts written by few for all, since each must last by itself.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -106,6 +106,9 @@
 		f.Close()
 		return nil, err
 	}
+	if len(f.otherSeeds()) > 0 {
+		f.source.Await(time.Now().Add(seedPatience))
+	}
 	f.metrics.export(f)
 	f.workers.Go(func() { f.follow(ctx, cfg.Layout.ConfigPrefix) })
 	f.workers.Go(func() { f.follow(ctx, cfg.Layout.ServerPrefix) })
--- a/internal/forwarder/members.go
+++ b/internal/forwarder/members.go
@@ -37,11 +37,17 @@
 
 // joinAndList writes the entry of this host, then lists the hosts now and then
 // until the context ends; where others follow the store, the entries come with
-// what they tell.
+// what they tell, its own too.
 func (f *Forwarder) joinAndList(ctx context.Context) {
+	for ctx.Err() == nil && f.awaits() {
+		sleeper.Sleep(ctx, firstInterval)
+	}
 	joined := false
 	for ctx.Err() == nil {
-		err := f.listHosts(ctx)
+		var err error
+		if f.follows() {
+			err = f.listHosts(ctx)
+		}
 		if err == nil && !joined {
 			err = f.join(ctx)
 		}
@@ -104,7 +110,9 @@
 	if err != nil {
 		return err
 	}
-	f.take([]storer.Object{written}, source{})
+	if f.follows() {
+		f.take([]storer.Object{written}, source{})
+	}
 	return nil
 }
 
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -26,6 +27,13 @@
 	// peerAge is the greatest age of what peers tell: a call of a watch that is
 	// held to its end and a round of questions.
 	peerAge = 3500 * time.Millisecond
+	// firstInterval is how often a host that has just started asks its seeds, which
+	// may have started at the same time; with some hundred hosts a seed gets some
+	// hundred calls a second.
+	firstInterval = 300 * time.Millisecond
+	// seedPatience is how long it leaves the store to them: some times what they
+	// take to start and to list all.
+	seedPatience = 1500 * time.Millisecond
 	// askTimeout leaves time for another peer within the same bound.
 	askTimeout = 400 * time.Millisecond
 )
@@ -56,11 +64,7 @@
 	client := connector.NewClient()
 	defer client.CloseIdleConnections()
 	// One after the other from a random start, so that none is passed over for long.
-	for turn := rand.Int(); ; turn++ {
-		sleeper.Sleep(ctx, askInterval)
-		if ctx.Err() != nil {
-			return
-		}
+	for turn := rand.IntN(math.MaxInt16); ctx.Err() == nil; turn++ {
 		peers := f.watchers()
 		if len(peers) == 0 && f.lost.Load() > 0 {
 			peers = f.peers()
@@ -68,15 +72,41 @@
 		if len(peers) > 0 {
 			f.ask(ctx, client, peers[turn%len(peers)])
 		}
+		interval := askInterval
+		if f.awaits() {
+			interval = firstInterval
+		}
+		sleeper.Sleep(ctx, interval)
+	}
+}
+
+// otherSeeds returns the seeds, none if this host is one of them: others wait for it.
+func (f *Forwarder) otherSeeds() []string {
+	s := f.Settings()
+	if slices.Contains(s.Seeds, s.Listen.Control) {
+		return nil
 	}
+	return s.Seeds
+}
+
+// awaits reports whether this host still leaves the store to its seeds.
+func (f *Forwarder) awaits() bool {
+	f.sourceMu.Lock()
+	defer f.sourceMu.Unlock()
+	return f.source.Awaits(time.Now())
 }
 
 // watchers returns the control addresses of the hosts that follow the store for
-// this one, none if it does so by itself.
+// this one, none if it does so by itself. A host that isn't on the list yet has
+// just started, and asks its seeds.
 func (f *Forwarder) watchers() []string {
 	s := f.Settings()
 	var addresses []string
-	for _, host := range delegator.Watchers(s.Domain, f.delegate.known()) {
+	known := f.delegate.known()
+	if !slices.ContainsFunc(known, func(h delegator.Host) bool { return h.Name == s.Name }) {
+		addresses = f.otherSeeds()
+	}
+	for _, host := range delegator.Watchers(s.Domain, known) {
 		if host.Name == s.Name {
 			addresses = nil
 			break
@@ -112,7 +142,7 @@
 	if fetched.Unfit && slices.Contains(f.watchers(), address) {
 		f.engine.push(peerUnfit{})
 	}
-	f.take(fetched.Newer, source{whole: f.holdsServers(fetched.Newer), doubtful: f.lost.Load() > 0})
+	f.take(fetched.Newer, source{whole: fetched.Whole && f.holdsServers(fetched.Newer), doubtful: f.lost.Load() > 0})
 	if !fetched.Known || !fetched.Whole {
 		return
 	}
@@ -123,9 +153,9 @@
 	advance(&f.listed, begun.Add(-fetched.Age))
 }
 
-// holdsServers reports whether objects list a backend server.
+// holdsServers reports whether objects, or those held before, list a backend server.
 func (f *Forwarder) holdsServers(objects []storer.Object) bool {
-	return slices.ContainsFunc(objects, func(object storer.Object) bool {
+	return len(f.objects.List(f.cfg.Layout.ServerPrefix)) > 0 || slices.ContainsFunc(objects, func(object storer.Object) bool {
 		return strings.HasPrefix(object.Key, f.cfg.Layout.ServerPrefix)
 	})
 }
--- a/pkg/coordination/watcher/source.go
+++ b/pkg/coordination/watcher/source.go
@@ -10,6 +10,9 @@
 	limit time.Duration
 	peers bool
 	fresh time.Time
+	// awaited is until when a host that has been told nothing yet leaves the store
+	// to its peers.
+	awaited time.Time
 }
 
 // NewSource returns a source that follows the store by itself.
@@ -22,6 +25,16 @@
 	s.peers = peers
 }
 
+// Await leaves the store to peers until a time or until they have told all they hold.
+func (s *Source) Await(until time.Time) {
+	s.awaited = until
+}
+
+// Awaits reports whether the host still waits for the first word of a peer.
+func (s *Source) Awaits(now time.Time) bool {
+	return s.fresh.IsZero() && now.Before(s.awaited)
+}
+
 // Told notes that a peer has told all it holds, which the store confirmed so long ago.
 func (s *Source) Told(now time.Time, age time.Duration) {
 	confirmed := now.Add(-age)
@@ -32,7 +45,7 @@
 
 // Own reports whether the host has to follow the store by itself.
 func (s *Source) Own(now time.Time) bool {
-	return !s.peers || now.Sub(s.fresh) > s.limit
+	return !s.Awaits(now) && (!s.peers || now.Sub(s.fresh) > s.limit)
 }
 
 // peerPatience is how many times less often a host tries a store that fails
--- a/pkg/coordination/watcher/source_test.go
+++ b/pkg/coordination/watcher/source_test.go
@@ -28,3 +28,21 @@
 	is.True(s.Own(start.Add(4 * time.Second)))
 	is.Equal(s.RetryDelay(time.Second), time.Second)
 }
+
+// TestHostThatStartsLeavesTheStoreToItsSeeds waits for them as long as it may,
+// and no longer than until one has told what it holds.
+func TestHostThatStartsLeavesTheStoreToItsSeeds(t *testing.T) {
+	is := is.New(t)
+	s := NewSource(2 * time.Second)
+	s.Await(start.Add(time.Second))
+	s.SetPeers(true)
+	is.True(!s.Own(start))
+	is.True(s.Awaits(start))
+	is.True(s.Own(start.Add(time.Second))) // no seed answers
+	is.True(!s.Awaits(start.Add(time.Second)))
+	s.Told(start.Add(500*time.Millisecond), 0)
+	is.True(!s.Awaits(start.Add(500 * time.Millisecond)))
+	is.True(!s.Own(start.Add(time.Second)))
+	s.SetPeers(false) // on the list now, and one of those that follow the store
+	is.True(s.Own(start.Add(500 * time.Millisecond)))
+}
