internal/forwarder, pkg/coordination: extra attempts go to hosts that send, hand-overs have receipts

Extra attempts. Now each request names this host's part: of a shard, by the hosts that gather, a quarter of that for their reserves, none for the rest; of a single service, by all hosts. The parts add up to one, and stay within the reserve of a quarter while hosts disagree on who gathers.

Now a gathering host confirms the receipt before it begins. Without that in 60 ms, or if the connection fails before it, the next gathering host gets the query with one attempt less; after it, all attempts count as used and the caller is told so at once. The same for slices. A failure at a gathering host counts for 10 s, in which a small host has a few queries.

Ruled out: keeping an attempt for the host that handed over, which leaves none for a second copy where a route allows two.

--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -4,16 +4,20 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/delegator"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/placer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
 )
@@ -22,8 +26,16 @@
 	// handOverHeader marks a caller's request that another host has handed over;
 	// its value is the version of the configuration by which that host found the route.
 	handOverHeader = "X-Rhubarbpost-Gather"
+	// sentHeader is how many servers each part may have been sent to before.
+	sentHeader = "X-Rhubarbpost-Sent"
 	// handOverDial is some hundred times the delay within a failure domain.
 	handOverDial = 60 * time.Millisecond
+	// handOverReceipt is how long the receipt of a query may take: a few times the
+	// processor time of one that is being gathered there.
+	handOverReceipt = 60 * time.Millisecond
+	// handOverMemory is how long a failure at a gathering host counts, in which a
+	// small host has a few queries.
+	handOverMemory = 10 * time.Second
 	// handOverTries is how many gathering hosts are tried before the host fans out by itself.
 	handOverTries = 2
 	// handOverIdle is how many connections are kept to a gathering host.
@@ -46,9 +58,11 @@
 }
 
 func newDelegate(cfg Config) *delegate {
+	placing := cfg.Settings.scatterer().Placer
+	placing.Memory = handOverMemory
 	return &delegate{
 		plans:  make(map[int]delegator.Plan),
-		placer: placer.New(cfg.Settings.scatterer().Placer),
+		placer: placer.New(placing),
 		transport: &http.Transport{
 			DialContext: Dialer(handOverDial), DisableCompression: true,
 			MaxIdleConnsPerHost: handOverIdle, IdleConnTimeout: idleTimeout,
@@ -74,15 +88,38 @@
 	return d.hosts
 }
 
-// choose returns a gathering host for a query, or nil if this host fans out by itself.
-func (d *delegate) choose(self delegator.Host, connections int, tried []string, work time.Duration) *lister.Server {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+// plan returns how a host serves queries over shards whose servers take so many connections.
+func (d *delegate) plan(self delegator.Host, connections int) delegator.Plan {
 	plan, ok := d.plans[connections]
 	if !ok {
 		plan = delegator.New(self, d.hosts, connections)
 		d.plans[connections] = plan
 	}
+	return plan
+}
+
+// share returns the part of the extra attempts to the services of a route that
+// this host may send.
+func (f *Forwarder) share(route *matcher.Route) float64 {
+	connections, sharded := f.connections(route)
+	d := f.delegate
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case len(d.hosts) == 0:
+		return 1.0 / unknownHosts
+	case sharded:
+		return d.plan(f.self(), connections).Share
+	default:
+		return 1 / float64(len(d.hosts))
+	}
+}
+
+// choose returns a gathering host for a query, or nil if this host fans out by itself.
+func (d *delegate) choose(self delegator.Host, connections int, tried []string, work time.Duration) *lister.Server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	plan := d.plan(self, connections)
 	if plan.Direct {
 		return nil
 	}
@@ -120,7 +157,11 @@
 func (d *delegate) ended(ctx context.Context, host string, sent time.Time, err error, work time.Duration) {
 	outcome := placer.Answered
 	switch {
-	case errors.Is(err, errNoReceipt), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.Canceled):
+		outcome = placer.Withdrawn
+	case errors.Is(err, errNoReceipt):
+		outcome = placer.Failed
+	case errors.Is(err, context.DeadlineExceeded):
 		outcome = placer.Silent
 	case ctx.Err() != nil:
 		outcome = placer.Withdrawn
@@ -137,7 +178,10 @@
 	d.transport.CloseIdleConnections()
 }
 
-var errNotGathered = errors.New("the host has no such route, or an older configuration, or stops")
+var (
+	errNotGathered = errors.New("the host has no such route, or an older configuration, or stops")
+	errNoReceipt   = errors.New("no receipt")
+)
 
 // handOver lets a gathering host serve a query and reports whether it did; if
 // not, nothing has been written and this host serves it.
@@ -167,9 +211,14 @@
 		}
 		a.spent = time.Since(arrived)
 		a.call.Left = patience - a.spent
-		if mayHaveGathered(err) {
-			a.sentOnce = true
-			return false
+		switch {
+		case !mayHaveGathered(err):
+		case errors.Is(err, errNoReceipt) && a.sent+1 < a.route.Attempts:
+			a.sent++
+		default:
+			// That host may have used all attempts.
+			f.refuse(w, a, classifier.NewFailure(classifier.CodeOf(err, classifier.ServerFailed), "gathering host %s: %v", host.ID, err))
+			return true
 		}
 	}
 	return false
@@ -195,7 +244,8 @@
 }
 
 // mayHaveGathered reports whether a gathering host may have sent a query on
-// before the exchange with it failed.
+// before the exchange with it failed: to one server a part if the receipt is
+// missing, as the query is dropped there soon, else to as many as the route allows.
 func mayHaveGathered(err error) bool {
 	return !errors.Is(err, errNotGathered) && !NeverConnected(err)
 }
@@ -205,12 +255,29 @@
 	deadline := time.Now().Add(min(a.call.Left, a.route.Timeout))
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
-	return f.askGatherer(ctx, a, host, nil)
+	var headers map[string]string
+	if a.sent > 0 {
+		headers = map[string]string{sentHeader: strconv.Itoa(a.sent)}
+	}
+	return f.askGatherer(ctx, a, host, handOverReceipt, headers)
 }
 
 // askGatherer sends a caller's request to another host, with headers besides its
-// own, and reads the whole answer.
-func (f *Forwarder) askGatherer(ctx context.Context, a *arrival, host *lister.Server, headers map[string]string) (*Answer, error) {
+// own, and reads the whole answer. The other host confirms the receipt before it
+// begins; one that doesn't in time is taken to be stopped or cut off.
+func (f *Forwarder) askGatherer(ctx context.Context, a *arrival, host *lister.Server, receipt time.Duration, headers map[string]string) (*Answer, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var received atomic.Bool
+	overdue := time.AfterFunc(receipt, func() {
+		if !received.Load() {
+			cancel(errNoReceipt)
+		}
+	})
+	defer overdue.Stop()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotFirstResponseByte: func() { received.Store(true) },
+	})
 	out := a.outbound
 	out.header = out.header.Clone()
 	out.header.Set(handOverHeader, strconv.FormatUint(a.version, 10))
@@ -218,8 +285,12 @@
 		out.header.Set(name, value)
 	}
 	response, err := f.delegate.transport.RoundTrip(out.request(ctx, host))
-	if err != nil {
+	switch {
+	case err == nil:
+	case received.Load() || NeverConnected(err) || errors.Is(err, errNoReceipt):
 		return nil, err
+	default:
+		return nil, fmt.Errorf("%w: %w", errNoReceipt, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
@@ -291,10 +362,19 @@
 		return
 	}
 	a.spent = handOverWay
+	sent := r.Header.Get(sentHeader)
+	if sent != "" {
+		a.sent, err = strconv.Atoi(sent)
+	}
+	if err != nil || a.sent < 0 {
+		http.Error(w, sentHeader+" "+sent, http.StatusBadRequest)
+		return
+	}
 	wanted := r.Header.Get(sliceHeader)
 	if wanted != "" {
 		f.gatherSlice(w, r, a, wanted, a.version == theirs)
 		return
 	}
+	w.WriteHeader(http.StatusProcessing)
 	f.run(w, r, a)
 }
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -41,8 +41,10 @@
 	version uint64
 	// spent is the part of the objective that isn't left to the engine.
 	spent time.Duration
-	// sentOnce says that another host may have sent the request to each part.
-	sentOnce bool
+	// share is this host's part of the extra attempts to the services of the route.
+	share float64
+	// sent is how many servers other hosts may have sent each part to.
+	sent int
 	// slice says that the request is a slice of another host's.
 	slice    bool
 	outbound outbound
@@ -70,8 +72,6 @@
 	source
 }
 
-type hostCount struct{ n int }
-
 type extraChange struct{ extra Extra }
 
 // storeState says whether the store answers.
@@ -88,7 +88,6 @@
 func (ending) engineEvent()      {}
 func (sliceEnding) engineEvent() {}
 func (*listing) engineEvent()    {}
-func (hostCount) engineEvent()   {}
 func (extraChange) engineEvent() {}
 func (storeState) engineEvent()  {}
 func (peerUnfit) engineEvent()   {}
@@ -196,7 +195,7 @@
 	case *arrival:
 		e.requests[item.id] = item
 		e.answers[item.id] = make(map[uint64]*Answer)
-		e.act(e.machine.Step(now, &scatterer.Arrived{Request: item.id, Route: item.route, Left: item.call.Left, Spent: item.spent, SentOnce: item.sentOnce, Slice: item.slice}))
+		e.act(e.machine.Step(now, &scatterer.Arrived{Request: item.id, Route: item.route, Left: item.call.Left, Spent: item.spent, Share: item.share, Sent: item.sent, Slice: item.slice}))
 	case ending:
 		end := e.ended(item)
 		if end != nil {
@@ -215,8 +214,6 @@
 		e.abandoned(now, item)
 	case *listing:
 		e.list(now, item)
-	case hostCount:
-		e.machine.SetHosts(item.n)
 	case storeState:
 		e.assessor.Store(now, item.answers)
 	case peerUnfit:
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -77,10 +77,12 @@
 		return a, failure
 	}
 	a.id = f.lastRequest.Add(1)
+	a.share = f.share(route)
 	header := r.Header.Clone()
 	removeConnectionHeaders(header)
 	header.Del(sliceHeader)
 	header.Del(neededHeader)
+	header.Del(sentHeader)
 	_, ok = header["User-Agent"]
 	if !ok {
 		header["User-Agent"] = nil
@@ -129,11 +131,11 @@
 	}
 }
 
-// refuse answers a request that never reached the engine.
+// refuse answers a request that never reached the engine of this host.
 func (f *Forwarder) refuse(w http.ResponseWriter, a *arrival, failure *classifier.Failure) {
 	f.metrics.refused(failure.Code)
 	f.cfg.Logger.Warn(logger.RequestRefused, "request", a.call.ID, "result", failure.Code, "detail", failure.Detail,
-		"notRun", true, "retryAfterMillis", failure.RetryAfter.Milliseconds(),
+		"notRun", failure.Code.NotRun(), "retryAfterMillis", failure.RetryAfter.Milliseconds(),
 		"storeAgeMillis", time.Since(f.confirmedAt()).Milliseconds())
 	f.writeFailure(w, failure)
 }
--- a/internal/forwarder/members.go
+++ b/internal/forwarder/members.go
@@ -82,7 +82,6 @@
 func (f *Forwarder) hostsChanged() {
 	before, after := f.delegate.setHosts(f.readHosts)
 	f.metrics.hosts.Set(float64(after))
-	f.engine.push(hostCount{after})
 	f.cfg.Logger.Info(logger.HostsChanged, "hosts", after, "before", before)
 }
 
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -161,7 +161,6 @@
 		LateFactor:    lateFactor,
 		ExtraRatio:    extraReserve * s.Extra.Ratio,
 		ExtraBurst:    extraReserve * s.Extra.Burst,
-		Hosts:         unknownHosts,
 		SliceParts:    sliceParts,
 		SliceFactor:   sliceFactor,
 	}
--- a/internal/forwarder/slice.go
+++ b/internal/forwarder/slice.go
@@ -5,10 +5,8 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
@@ -33,10 +31,7 @@
 	sliceReceipt = 30 * time.Millisecond
 )
 
-var (
-	errNoReceipt = errors.New("no receipt")
-	errNoHost    = errors.New("no host of the failure domain is known to serve")
-)
+var errNoHost = errors.New("no host of the failure domain is known to serve")
 
 // passSlice has a host of another failure domain gather the parts of a slice
 // and returns an answer for each.
@@ -49,16 +44,17 @@
 	sent := time.Now()
 	answers, err := f.exchangeSlice(ctx, r, s, host)
 	f.handedOver(ctx, r, host, sent, err, "domain", s.Domain, "parts", len(s.Parts))
-	code := classifier.NotSent
+	failed := &Answer{Code: classifier.NotSent, Err: err}
 	switch {
 	case err == nil:
 		return answers
 	case ctx.Err() != nil:
-		code = classifier.CodeOf(ctx.Err(), classifier.Canceled)
+		failed.Code = classifier.CodeOf(ctx.Err(), classifier.Canceled)
 	case mayHaveGathered(err):
-		code = classifier.ServerFailed
+		failed.Code = classifier.ServerFailed
+		failed.Exhausted = !errors.Is(err, errNoReceipt)
 	}
-	return sliceFailed(s, &Answer{Code: code, Err: err})
+	return sliceFailed(s, failed)
 }
 
 func sliceFailed(s *scatterer.SendSlice, a *Answer) []*Answer {
@@ -69,22 +65,9 @@
 	return answers
 }
 
-// exchangeSlice sends a slice and reads the answer; the other host confirms the
-// receipt before it begins.
+// exchangeSlice sends a slice and reads the answer.
 func (f *Forwarder) exchangeSlice(ctx context.Context, r *arrival, s *scatterer.SendSlice, host *lister.Server) ([]*Answer, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	var received atomic.Bool
-	overdue := time.AfterFunc(sliceReceipt, func() {
-		if !received.Load() {
-			cancel(errNoReceipt)
-		}
-	})
-	defer overdue.Stop()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotFirstResponseByte: func() { received.Store(true) },
-	})
-	answer, err := f.askGatherer(ctx, r, host, map[string]string{
+	answer, err := f.askGatherer(ctx, r, host, sliceReceipt, map[string]string{
 		sliceHeader: joinInts(s.Parts), neededHeader: strconv.Itoa(s.Needed),
 	})
 	switch {
--- a/pkg/coordination/delegator/delegator.go
+++ b/pkg/coordination/delegator/delegator.go
@@ -25,6 +25,9 @@
 	// partMegabits is what a part moves over the host's link: an answer of 1 KB,
 	// the request and the headers of both.
 	partMegabits = 0.016
+	// gathererShare is how many times the extra attempts of a reserve a gathering
+	// host may send: reserves have few queries, and only at times.
+	gathererShare = 4
 	// speedSpread is how many times longer than at the fastest host a query may
 	// take at another one that gathers beside it. With more than two it would be
 	// served sooner behind another query at the fastest.
@@ -62,20 +65,53 @@
 	Gatherers []Host
 	// Reserves gather in their place while none of them seems to serve.
 	Reserves []Host
+	// Share is the part of the extra attempts of all hosts to a shard that this
+	// host may send, 0 for one that only fans out where no other host serves.
+	Share float64
 }
 
 // New returns the plan of a host among all hosts known, for backend servers
 // that take so many connections from all hosts together; 0 is no bound.
 func New(self Host, hosts []Host, connections int) Plan {
 	if fewHosts(hosts, connections) {
-		return Plan{Direct: true}
+		return Plan{Direct: true, Share: 1 / float64(max(len(hosts), 1))}
 	}
 	gatherers, reserves := gathering(self.Domain, hosts, connections)
-	if len(gatherers) == 0 || slices.ContainsFunc(gatherers, func(h Host) bool { return h.Name == self.Name }) {
-		return Plan{Direct: true}
+	plan := Plan{Share: share(self, hosts, connections)}
+	if len(gatherers) == 0 || slices.ContainsFunc(gatherers, self.is) {
+		plan.Direct = true
+		return plan
 	}
-	reserves = slices.DeleteFunc(reserves, func(h Host) bool { return h.Name == self.Name })
-	return Plan{Gatherers: preferred(self, gatherers), Reserves: preferred(self, reserves)}
+	plan.Gatherers = preferred(self, gatherers)
+	plan.Reserves = preferred(self, slices.DeleteFunc(reserves, self.is))
+	return plan
+}
+
+// share divides the extra attempts to shards among the hosts that send to them:
+// most to those that gather, some to those that stand in for them.
+func share(self Host, hosts []Host, connections int) float64 {
+	domains := make(map[string]bool)
+	own, all := 0, 0
+	for _, host := range hosts {
+		if domains[host.Domain] {
+			continue
+		}
+		domains[host.Domain] = true
+		gatherers, reserves := gathering(host.Domain, hosts, connections)
+		all += gathererShare*len(gatherers) + len(reserves)
+		switch {
+		case slices.ContainsFunc(gatherers, self.is):
+			own = gathererShare
+		case slices.ContainsFunc(reserves, self.is):
+			own = 1
+		}
+	}
+	return float64(own) / float64(max(all, 1))
+}
+
+// is reports whether two entries are of the same host.
+func (h Host) is(other Host) bool {
+	return h.Name == other.Name
 }
 
 // Peers returns the hosts of a failure domain that gather the parts of queries
--- a/pkg/coordination/delegator/delegator_test.go
+++ b/pkg/coordination/delegator/delegator_test.go
@@ -194,6 +194,43 @@
 	}
 }
 
+// TestExtraAttemptsAreDividedAmongThoseThatUseThem adds the shares of all hosts up.
+func TestExtraAttemptsAreDividedAmongThoseThatUseThem(t *testing.T) {
+	is := is.New(t)
+	for _, site := range []struct {
+		hosts       []Host
+		connections int
+	}{{fleet(4, 2, 0), 26}, {fleet(4, 2, 17), 60}, {fleet(5, 3, 56), 175}, {fleet(13, 12, 250), 600}} {
+		sum, gathered := 0.0, 0.0
+		for _, host := range site.hosts {
+			plan := New(host, site.hosts, site.connections)
+			sum += plan.Share
+			if plan.Direct {
+				gathered += plan.Share
+			}
+		}
+		is.True(sum > 0.999 && sum < 1.001)
+		is.True(gathered > 0.6) // those to whom queries are handed have most
+	}
+}
+
+// TestSharesHoldWhileHostsDisagree has one gathering host taken off the list
+// that half of the hosts hold: what all of them may send together stays within
+// the reserve that is kept of the allowance, a quarter of what is planned with.
+func TestSharesHoldWhileHostsDisagree(t *testing.T) {
+	is := is.New(t)
+	hosts := fleet(5, 3, 56)
+	sum := 0.0
+	for i, host := range hosts {
+		view := hosts
+		if i%2 == 1 {
+			view = hosts[1:]
+		}
+		sum += New(host, view, 175).Share
+	}
+	is.True(sum <= 1.25)
+}
+
 func TestTwoHostsOfADomainFollowTheStore(t *testing.T) {
 	is := is.New(t)
 	is.Equal(len(Watchers("a", site(watchers))), 0)
--- a/pkg/coordination/scatterer/load_test.go
+++ b/pkg/coordination/scatterer/load_test.go
@@ -78,7 +78,7 @@
 	d := newDirectory(loadShards, loadReplica)
 	m := New(Config{
 		Placer:       placer.Config{Domain: "d", QueueCost: 2, ReportLife: 60 * time.Millisecond, Memory: 1500 * time.Millisecond},
-		AnswerMargin: margin, HedgeFraction: 0.33, ExtraRatio: 0.2, ExtraBurst: 50, Hosts: 1, LateFactor: lateFactor,
+		AnswerMargin: margin, HedgeFraction: 0.33, ExtraRatio: 0.2, ExtraBurst: 50, LateFactor: lateFactor,
 	}, d)
 	s := &simulation{
 		machine: m, random: rand.New(rand.NewPCG(loadSeed, loadSeed)), now: start,
@@ -103,7 +103,7 @@
 	s.begin, s.slow = begin, start.Add(first)
 	for s.step(func(id uint64) []Action {
 		s.arrived[id] = s.now
-		return m.Step(s.now, &Arrived{Request: id, Route: route, Left: patience})
+		return m.Step(s.now, &Arrived{Request: id, Route: route, Left: patience, Share: 1})
 	}) {
 	}
 	return s
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -112,7 +112,7 @@
 	flights   map[uint64]*flight
 	attempts  map[uint64]*attempt
 	routes    map[routeKey]*routeStats
-	budgets   map[string]*limiter.Budget
+	budgets   map[string]*budget
 	denied    uint64
 	last      uint64
 	alarms    waker.Alarms[*flight]
@@ -128,34 +128,24 @@
 		flights:   make(map[uint64]*flight),
 		attempts:  make(map[uint64]*attempt),
 		routes:    make(map[routeKey]*routeStats),
-		budgets:   make(map[string]*limiter.Budget),
+		budgets:   make(map[string]*budget),
 	}
 }
 
-// SetHosts changes the number of hosts that share the extra attempts.
-func (m *Machine) SetHosts(hosts int) {
-	m.cfg.Hosts = max(hosts, 1)
-	m.refit()
-}
-
 // SetExtra changes the second attempts that all hosts together may send.
 func (m *Machine) SetExtra(ratio, burst float64) {
 	m.cfg.ExtraRatio, m.cfg.ExtraBurst = ratio, burst
-	m.refit()
-}
-
-func (m *Machine) refit() {
-	for _, budget := range m.budgets {
-		*budget = budget.WithRatio(m.cfg.ExtraRatio).WithCapacity(m.burst())
+	for _, b := range m.budgets {
+		b.Budget = b.WithRatio(ratio).WithCapacity(burst * b.share)
 	}
 }
 
 // ExtraLeft returns the second attempts left to the service that has the fewest,
 // and whether any service has had requests.
 func (m *Machine) ExtraLeft() (left float64, ok bool) {
-	for _, budget := range m.budgets {
-		if !ok || budget.Left() < left {
-			left, ok = budget.Left(), true
+	for _, b := range m.budgets {
+		if !ok || b.Left() < left {
+			left, ok = b.Left(), true
 		}
 	}
 	return left, ok
@@ -224,14 +214,15 @@
 	}
 	expected, left := f.expected(choices), f.answerBy.Sub(now)
 	var foreign *slice
-	if !e.Slice && !e.SentOnce && !late(expected, left, m.cfg.SliceFactor) {
+	if !e.Slice && e.Sent == 0 && !late(expected, left, m.cfg.SliceFactor) {
 		foreign = m.planSlice(now, f, choices)
 	}
 	for i := range f.parts {
 		// Requests are counted for each service, whether or not they are sent;
 		// the host that gathers a slice counts its parts.
+		b := m.budget(f.parts[i].service, e.Share)
 		if !foreign.has(i) {
-			m.budget(f.parts[i].service).Earn(1)
+			b.Earn(1)
 		}
 	}
 	if !f.reaches(sound) && !m.mayTry(now, f) {
@@ -346,11 +337,9 @@
 			f.parts[i].service = service
 		}
 	}
-	if e.SentOnce {
-		f.ran = true
-		for i := range f.parts {
-			f.parts[i].runs, f.parts[i].arrivals = 1, 1
-		}
+	f.ran = e.Sent > 0
+	for i := range f.parts {
+		f.parts[i].runs, f.parts[i].arrivals = e.Sent, e.Sent
 	}
 	f.answerBy = earliest(now.Add(route.Objective-e.Spent-m.answerMargin(f)), f.deadline)
 	return f
@@ -772,26 +761,33 @@
 // spend takes a second attempt from the budget of a service and reports whether
 // there was one.
 func (m *Machine) spend(service string) bool {
-	ok := m.budget(service).Spend()
+	b := m.budgets[service]
+	ok := b != nil && b.Spend()
 	if !ok {
 		m.denied++
 	}
 	return ok
 }
 
-// burst is this host's part of the extra attempts on top of the ratio.
-func (m *Machine) burst() float64 {
-	return m.cfg.ExtraBurst / float64(max(m.cfg.Hosts, 1))
+// budget holds the extra attempts to one service that this host may send.
+type budget struct {
+	limiter.Budget
+
+	// share is the part of those of all hosts together.
+	share float64
 }
 
-func (m *Machine) budget(service string) *limiter.Budget {
-	budget := m.budgets[service]
-	if budget == nil {
-		fresh := limiter.NewBudget(m.cfg.ExtraRatio, m.burst())
-		budget = &fresh
-		m.budgets[service] = budget
+// budget returns the budget of a service for a part of the extra attempts.
+func (m *Machine) budget(service string, share float64) *budget {
+	b := m.budgets[service]
+	switch {
+	case b == nil:
+		b = &budget{limiter.NewBudget(m.cfg.ExtraRatio, m.cfg.ExtraBurst*share), share}
+		m.budgets[service] = b
+	case b.share != share:
+		b.Budget, b.share = b.WithCapacity(m.cfg.ExtraBurst*share), share
 	}
-	return budget
+	return b
 }
 
 func earliest(a, b time.Time) time.Time {
--- a/pkg/coordination/scatterer/scatterer_test.go
+++ b/pkg/coordination/scatterer/scatterer_test.go
@@ -44,7 +44,7 @@
 func testMachine(d Directory) *Machine {
 	return New(Config{
 		Placer:       placer.Config{Domain: "d", QueueCost: 2, ReportLife: 60 * time.Millisecond, Memory: 1500 * time.Millisecond},
-		AnswerMargin: margin, HedgeFraction: 0.25, ExtraRatio: 0.2, ExtraBurst: 50, Hosts: 1,
+		AnswerMargin: margin, HedgeFraction: 0.25, ExtraRatio: 0.2, ExtraBurst: 50,
 	}, d)
 }
 
@@ -66,7 +66,7 @@
 }
 
 func arrive(m *Machine, now time.Time, request uint64, route *matcher.Route) []Action {
-	return clone(m.Step(now, &Arrived{Request: request, Route: route, Left: patience}))
+	return clone(m.Step(now, &Arrived{Request: request, Route: route, Left: patience, Share: 1}))
 }
 
 func clone(actions []Action) []Action { return append([]Action(nil), actions...) }
@@ -107,8 +107,8 @@
 func TestSpentTimeCountsAgainstTheObjective(t *testing.T) {
 	for _, spent := range []time.Duration{objective / 2, 2 * objective} {
 		is := is.New(t)
-		m := New(Config{Placer: placer.Config{Domain: "d"}, AnswerMargin: margin, LateFactor: 1.5, Hosts: 1}, newDirectory("abcd", 1))
-		sends := of[*Send](clone(m.Step(start, &Arrived{Request: 1, Route: sharded("abcd", 0.75), Left: patience, Spent: spent})))
+		m := New(Config{Placer: placer.Config{Domain: "d"}, AnswerMargin: margin, LateFactor: 1.5}, newDirectory("abcd", 1))
+		sends := of[*Send](clone(m.Step(start, &Arrived{Request: 1, Route: sharded("abcd", 0.75), Left: patience, Share: 1, Spent: spent})))
 		is.Equal(len(sends), 4)
 		var done []Action
 		for _, send := range sends[:3] {
@@ -246,7 +246,7 @@
 	}
 	m := New(Config{
 		Placer:       placer.Config{Domain: "d", ForeignCost: 1, Memory: 1500 * time.Millisecond},
-		AnswerMargin: margin, Hosts: 1,
+		AnswerMargin: margin,
 	}, d)
 	now := start
 	query := func(request uint64) (tried []string) {
@@ -330,11 +330,10 @@
 	is := is.New(t)
 	const requests, hosts, ratio, burst = 500, 10, 0.2, 50
 	m := testMachine(newDirectory("a", 2))
-	m.SetHosts(hosts)
 	extra := 0
 	now := start
 	for i := range uint64(requests) {
-		sends := of[*Send](arrive(m, now, i, single(true, 2)))
+		sends := of[*Send](clone(m.Step(now, &Arrived{Request: i, Route: single(true, 2), Left: patience, Share: 1.0 / hosts})))
 		now = now.Add(objective / 4)
 		second := of[*Send](clone(m.Step(now, &Woken{})))
 		extra += len(second)
@@ -346,12 +345,33 @@
 	is.True(extra >= requests*ratio*9/10)
 }
 
+// TestAShareThatGrowsGivesMoreExtraAttempts has a host without a part of the
+// extra attempts, as one that hands its queries over, which then gathers.
+func TestAShareThatGrowsGivesMoreExtraAttempts(t *testing.T) {
+	is := is.New(t)
+	m := testMachine(newDirectory("a", 2))
+	now := start
+	for i, share := range []float64{0, 0.5, 0} {
+		extra := 0
+		for k := range uint64(100) {
+			sends := of[*Send](clone(m.Step(now, &Arrived{Request: uint64(i)*100 + k, Route: single(true, 2), Left: patience, Share: share})))
+			now = now.Add(objective / 4)
+			second := of[*Send](clone(m.Step(now, &Woken{})))
+			extra += len(second)
+			for _, send := range append(sends, second...) {
+				end(m, now, send, classifier.OK)
+			}
+		}
+		is.Equal(extra > 0, share > 0)
+	}
+}
+
 // TestRequestsSentByAnotherHostKeepToTheirAttempts takes a query that another
 // host may have sent to each shard: one attempt of two is left here.
 func TestRequestsSentByAnotherHostKeepToTheirAttempts(t *testing.T) {
 	is := is.New(t)
 	m := testMachine(newDirectory("ab", 3))
-	sends := of[*Send](clone(m.Step(start, &Arrived{Request: 1, Route: sharded("ab", 0.5), Left: patience, SentOnce: true})))
+	sends := of[*Send](clone(m.Step(start, &Arrived{Request: 1, Route: sharded("ab", 0.5), Left: patience, Share: 1, Sent: 1})))
 	is.Equal(len(sends), 2)
 	is.Equal(len(of[*Send](clone(m.Step(start.Add(objective/2), &Woken{})))), 0) // no hedge
 	is.Equal(len(of[*Send](end(m, start.Add(objective/2), sends[0], classifier.ServerFailed))), 0)
@@ -375,7 +395,7 @@
 func sliceMachine(d Directory) *Machine {
 	return New(Config{
 		Placer:       placer.Config{Domain: "e", ForeignCost: 1, QueueCost: 2, Memory: time.Second},
-		AnswerMargin: margin, HedgeFraction: 0.25, ExtraRatio: 0.2, ExtraBurst: 50, Hosts: 1, SliceParts: 3, SliceFactor: 0.3,
+		AnswerMargin: margin, HedgeFraction: 0.25, ExtraRatio: 0.2, ExtraBurst: 50, SliceParts: 3, SliceFactor: 0.3,
 	}, d)
 }
 
@@ -391,7 +411,7 @@
 	is.Equal(slice.Needed, 2) // of eight, if the other six are answered
 	actions = arrive(sliceMachine(twoDomains("abcdefghij", 8)), start, 1, sharded("abcdefghij", 0.8))
 	is.Equal(len(of[*Send](actions)), 10)
-	actions = clone(sliceMachine(twoDomains("abcd", 1)).Step(start, &Arrived{Request: 1, Route: sharded("abcd", 1), Left: patience, Slice: true}))
+	actions = clone(sliceMachine(twoDomains("abcd", 1)).Step(start, &Arrived{Request: 1, Route: sharded("abcd", 1), Left: patience, Share: 1, Slice: true}))
 	is.Equal(len(of[*Send](actions)), 4) // a slice has no slices
 }
 
@@ -474,7 +494,7 @@
 func TestRetryOfWhatReachedNoServerIsFree(t *testing.T) {
 	is := is.New(t)
 	for code, retries := range map[classifier.Code]int{classifier.ServerUnreachable: 1, classifier.ServerShed: 0} {
-		m := New(Config{Placer: placer.Config{Domain: "d"}, Hosts: 1}, newDirectory("a", 2))
+		m := New(Config{Placer: placer.Config{Domain: "d"}}, newDirectory("a", 2))
 		sends := of[*Send](arrive(m, start, 1, single(true, 2)))
 		again := of[*Send](end(m, start, sends[0], code))
 		is.Equal(len(again), retries)
--- a/pkg/coordination/scatterer/types.go
+++ b/pkg/coordination/scatterer/types.go
@@ -26,8 +26,6 @@
 	// may send to a service: a part of its requests, and a number on top.
 	ExtraRatio float64
 	ExtraBurst float64
-	// Hosts is the number of hosts that share the extra attempts.
-	Hosts int
 	// SliceParts is the least number of parts that are sent as one to a host of
 	// the failure domain that has their servers; 0 sends each by itself.
 	SliceParts int
@@ -53,8 +51,11 @@
 	// Spent is the part of the route's objective that isn't left here: what has
 	// passed, and what the way over another host takes.
 	Spent time.Duration
-	// SentOnce says that each part may have been at a server before.
-	SentOnce bool
+	// Share is this host's part of the extra attempts that all hosts together may
+	// send to the services of the route.
+	Share float64
+	// Sent is how many servers each part may have been sent to before.
+	Sent int
 	// Slice says that the request is a slice of another host, which may have no
 	// slices and is never refused for being late.
 	Slice bool
