pkg/coordination/placer: a server that turns requests away without a queue loses work

A rejection counted as a sign of a queue for 60 ms only, so that the same server got the next request, although another replica served all.

Now a rejection with a reported queue of none counts like a failure that doesn't suspend the server. Ruled out: counting each rejection so, which in the load test refused 41 queries of 650 in place of 6 at 0.6 of the capacity, as a full server stayed out for long.

Test that fails before: TestServerThatTurnsRequestsAwayLosesWork.

--- a/pkg/coordination/placer/placer.go
+++ b/pkg/coordination/placer/placer.go
@@ -338,8 +338,11 @@
 	case Answered:
 		held.answered(now, result, p.cfg.Memory)
 	case Rejected:
-		if result.Load == nil {
+		switch {
+		case result.Load == nil:
 			held.load, held.reported = Load{Running: 1, Waiting: 2}, now
+		case result.Load.Waiting == 0:
+			held.turnAway(now)
 		}
 	case Failed:
 		held.fail(now)
@@ -387,10 +390,17 @@
 	s.suspended = now.Add(suspensionMin)
 }
 
-// fail notes a failure and suspends the server after some in a row.
-func (s *server) fail(now time.Time) {
+// turnAway notes a request that the server rejected though nothing waits there.
+// Another one is preferred for as long as it does so; one that is full has a
+// queue, which counts by itself.
+func (s *server) turnAway(now time.Time) {
 	s.failures += failureSmoothing * (1 - s.failures)
 	s.failed = now
+}
+
+// fail notes a failure and suspends the server after some in a row.
+func (s *server) fail(now time.Time) {
+	s.turnAway(now)
 	s.inARow++
 	if s.inARow >= suspendAfter {
 		s.pause = min(max(2*s.pause, suspensionMin), suspensionMax)
--- a/pkg/coordination/placer/placer_test.go
+++ b/pkg/coordination/placer/placer_test.go
@@ -153,6 +153,34 @@
 	is.Equal(first.Ahead, 7.0)
 }
 
+// TestServerThatTurnsRequestsAwayLosesWork has a server that rejects more than
+// half of its requests though it has no queue, beside one that serves all: the
+// second one gets nearly all requests, until the first has been forgiven.
+func TestServerThatTurnsRequestsAwayLosesWork(t *testing.T) {
+	is := is.New(t)
+	p := testPlacer()
+	list := servers("near", "near")
+	idle := &Load{Slots: 2}
+	now := start
+	counts := map[string]int{}
+	for i := range 100 {
+		choice := choose(t, p, now, list)
+		counts[choice.Server.ID]++
+		p.Sent(now, choice.Server)
+		result := Result{Outcome: Answered, Latency: work, Work: work, Load: idle}
+		if choice.Server.ID == "0" && i%5 < 3 {
+			result.Outcome = Rejected
+		}
+		p.Ended(now.Add(work), choice.Server.ID, now, result)
+		now = now.Add(2 * work)
+	}
+	t.Log(counts)
+	is.True(counts["0"] <= 10)
+	is.True(!choose(t, p, now, list).Doubtful)
+	now = now.Add(2 * time.Second)
+	is.Equal(choose(t, p, now, list).Server.ID, "0") // the first of two alike
+}
+
 // TestClosedServerIsLeftAtOnce has a server at whose address nothing listens:
 // it gets one try each 250 ms however often it has refused, and work as before
 // once it is listed anew.
