pkg/coordination/allotter: limits of backend servers are decoded, logged and counted

Logs and metrics couldn't tell whether hosts know of a limit, whether each keeps to it alone, or which requests bypass it. Nothing obeys the limit yet.

--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -24,6 +24,7 @@
 	rewinds     *metrics.Counter
 	draining    *metrics.Counter
 	pauses      *metrics.Counter
+	limited     *metrics.Gauge
 }
 
 func newCounters() *counters {
@@ -40,6 +41,7 @@
 		rewinds:     set.NewCounter("rhubarbpost_store_rewinds_total"),
 		draining:    set.NewCounter("rhubarbpost_servers_announced_leaving_total"),
 		pauses:      set.NewCounter("rhubarbpost_server_pauses_total"),
+		limited:     set.NewGauge("rhubarbpost_servers_limited", nil),
 	}
 }
 
@@ -108,6 +110,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_attempts_sent_total{reason=%q,domain=%q}", reason, domain)).Inc()
 }
 
+// sentToLimited records an attempt at a server that has announced a limit.
+func (c *counters) sentToLimited(reason scatterer.Reason) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_limited_attempts_total{reason=%q}", reason)).Inc()
+}
+
 func (c *counters) attempt(code classifier.Code) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_attempts_ended_total{result=%q}", code)).Inc()
 }
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/allotter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/assessor"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
@@ -341,6 +342,33 @@
 			"pauseMillis", item.answer.Pause.Milliseconds(), "status", item.answer.Status)
 		e.machine.Pause(time.Now(), item.server, item.answer.Pause)
 	}
+	e.processLimit(item)
+}
+
+// processLimit records the limit that a server announces in its answer.
+func (e *engine) processLimit(item attemptEnd) {
+	if item.answer.LimitErr != nil {
+		e.log.Warn(logger.LimitRejected, "server", item.server.ID, "domain", item.server.Domain, "error", item.answer.LimitErr)
+	}
+	if item.answer.Limit == nil || item.server == nil {
+		return
+	}
+	limit := *item.answer.Limit
+	change, usage := e.machine.Limit(time.Now(), item.server, limit)
+	if change == allotter.Unchanged {
+		return
+	}
+	event := logger.LimitChanged
+	switch change {
+	case allotter.Started:
+		event = logger.LimitStarted
+	case allotter.Ended:
+		event = logger.LimitEnded
+	case allotter.Unchanged, allotter.Raised, allotter.Lowered:
+	}
+	e.metrics.limited.Set(float64(e.machine.LimitedServers()))
+	e.log.Info(event, "server", item.server.ID, "domain", item.server.Domain, "born", item.server.StartedAtMillis,
+		"perSecond", limit.Rate, "before", usage.Limit.Rate, "attempts", usage.Attempts, "forMillis", usage.For.Milliseconds())
 }
 
 // markDraining records that a server has announced that it is draining; source is
@@ -397,6 +425,9 @@
 			"part", a.SubRequest, "reason", string(a.Reason), "expectedMillis", a.Expected.Milliseconds())
 	}
 	e.metrics.sent(a.Reason, a.Server.Domain == e.domain)
+	if a.Limited {
+		e.metrics.sentToLimited(a.Reason)
+	}
 	e.exchanges.Go(func() {
 		answer := e.client.exchange(ctx, r.call, r.outbound, a.Server, a.Deadline)
 		e.push(attemptEnd{attempt: a.Attempt, server: a.Server, answer: answer})
--- a/internal/forwarder/types.go
+++ b/internal/forwarder/types.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/allotter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/placer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
@@ -36,10 +37,14 @@
 	Draining bool
 	// Pause is the Retry-After of a server that has rejected the request: it is to
 	// get no requests until then.
-	Pause  time.Duration
-	Status int
-	Header http.Header
-	Body   []byte
+	Pause time.Duration
+	// Limit is the request rate that the server takes from all hosts together, nil if
+	// the answer doesn't tell. LimitErr is why an announced limit can't be read.
+	Limit    *allotter.Limit
+	LimitErr error
+	Status   int
+	Header   http.Header
+	Body     []byte
 	// Err is the reason for a missing answer.
 	Err error
 	// Exhausted is true if a gathering host may have used all attempts of the
@@ -56,8 +61,8 @@
 	Call(r *http.Request) (Call, error)
 	// SetTarget sets the headers that direct a request to one incarnation of a server.
 	SetTarget(h http.Header, server *lister.Server, remaining time.Duration)
-	// Classify sets the code, proof, load, pause and draining mark of an answer from its
-	// status and headers.
+	// Classify sets the code, proof, load, pause, limit and draining mark of an answer
+	// from its status and headers.
 	Classify(call Call, a *Answer)
 	// SetCoverage sets the headers that state which shards a merged answer covers and how
 	// many are missing.
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -34,6 +34,9 @@
 	// RetryAfter is the Retry-After header of answers with status 503, in seconds;
 	// without it the header is left out.
 	RetryAfter string
+	// Limit is the Server-Limit header of all answers, in requests per second; without it
+	// the header is left out.
+	Limit string
 	// Endless sends a body without end, until the connection is closed.
 	Endless bool
 	// Draining makes the server announce in all answers that it is draining.
@@ -272,6 +275,9 @@
 	if b.Draining {
 		headers = append(headers, "Server-Leaving: 1")
 	}
+	if b.Limit != "" {
+		headers = append(headers, "Server-Limit: "+b.Limit)
+	}
 	if status == http.StatusServiceUnavailable && b.RetryAfter != "" {
 		headers = append(headers, "Retry-After: "+b.RetryAfter)
 	}
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -56,6 +56,9 @@
 	RegistrationRejected Event = 524
 	ServerDraining       Event = 525
 	ServerPaused         Event = 526
+	LimitStarted         Event = 527
+	LimitChanged         Event = 528
+	LimitEnded           Event = 529
 	StoreLost            Event = 530
 	StoreRegained        Event = 531
 	HostsChanged         Event = 532
@@ -65,6 +68,7 @@
 	DelegationFailed     Event = 536
 	StoreRewound         Event = 537
 	StoreRelisted        Event = 538
+	LimitRejected        Event = 539
 	SettingsReloaded     Event = 540
 	SettingsRejected     Event = 541
 	LinesDropped         Event = 550
@@ -114,6 +118,9 @@
 	{RegistrationRejected, "entryRejected", "A registration of a backend server or host in the store is invalid."},
 	{ServerDraining, "serverLeaves", "A backend server has announced in an answer that it is draining; this host sends it no new requests."},
 	{ServerPaused, "serverPaused", "A backend server has rejected a request with a Retry-After; this host sends it no requests for the time that the line names."},
+	{LimitStarted, "limitStarted", "A backend server has announced how many requests a second it takes from all hosts together."},
+	{LimitChanged, "limitChanged", "A backend server has announced another limit; the line counts the attempts of this host under the one before."},
+	{LimitEnded, "limitEnded", "A backend server announces no limit any more; the line counts the attempts of this host under it."},
 	{StoreLost, "storeLost", "The store does not answer; the host continues with the objects that it holds."},
 	{StoreRegained, "storeRegained", "The store answers again."},
 	{HostsChanged, "hostsChanged", "The number of hosts that share the budget of extra attempts (hedges and retries) has changed."},
@@ -123,6 +130,7 @@
 	{DelegationFailed, "handOverFailed", "The delegation of a query to a gathering host has failed; another one or this host serves the query."},
 	{StoreRewound, "storeRewound", "The store was restored from an older copy (a rewind), which began the era that the line names; its objects are listed again."},
 	{StoreRelisted, "storeListedAnew", "A prefix was listed again after the store was restored from an older copy."},
+	{LimitRejected, "limitRejected", "A backend server has announced a limit that can't be read; what was known of its limit holds on."},
 	{SettingsReloaded, "settingsReloaded", "The settings file has changed and is in force."},
 	{SettingsRejected, "settingsRejected", "The changed settings file is invalid; the previous settings stay in force."},
 	{LinesDropped, "linesDropped", "Log lines were dropped to limit the log volume."},
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/allotter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/limiter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/placer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
@@ -133,6 +134,7 @@
 	cfg       Config
 	directory Directory
 	placer    *placer.Placer
+	limits    *allotter.Ledger
 	// requests has the requests in flight by ID, attempts the outstanding attempts.
 	requests map[uint64]*request
 	attempts map[uint64]*attempt
@@ -154,6 +156,7 @@
 		cfg:       cfg,
 		directory: directory,
 		placer:    placer.New(cfg.Placer),
+		limits:    allotter.NewLedger(),
 		requests:  make(map[uint64]*request),
 		attempts:  make(map[uint64]*attempt),
 		routes:    make(map[routeKey]*routeStats),
@@ -191,6 +194,7 @@
 // Forget drops the observations of a server that is no longer listed.
 func (m *Machine) Forget(now time.Time, id string) {
 	m.placer.Forget(now, id)
+	m.limits.Forget(id)
 }
 
 // DomainUnreachable reports whether any other failure domain has left attempts unanswered
@@ -204,6 +208,21 @@
 	m.placer.Pause(now, server, d)
 }
 
+// Limit records what an answer of a server says of its limit for all hosts together. The
+// usage is that under the limit known before.
+func (m *Machine) Limit(now time.Time, server *lister.Server, limit allotter.Limit) (allotter.Change, allotter.Usage) {
+	return m.limits.Observe(now, incarnation(server), limit)
+}
+
+// LimitedServers returns the number of servers that have announced a limit.
+func (m *Machine) LimitedServers() int {
+	return m.limits.Len()
+}
+
+func incarnation(s *lister.Server) allotter.Incarnation {
+	return allotter.Incarnation{Server: s.ID, StartedAtMillis: s.StartedAtMillis}
+}
+
 // RegistrationChanged records that the registration of a server has changed.
 func (m *Machine) RegistrationChanged(id string) {
 	m.placer.RegistrationChanged(id)
@@ -499,7 +518,7 @@
 	sub.sentTo = append(sub.sentTo, choice.Server.ID)
 	m.placer.Sent(now, choice.Server)
 	m.actions = append(m.actions, &Send{
-		Request: r.id, Attempt: a.id, SubRequest: i, Server: choice.Server, Reason: reason,
+		Request: r.id, Attempt: a.id, SubRequest: i, Server: choice.Server, Limited: m.limits.Sent(incarnation(choice.Server)), Reason: reason,
 		Expected: r.stats.expectedLatency(choice), Deadline: r.deadline,
 	})
 }
--- a/pkg/coordination/scatterer/types.go
+++ b/pkg/coordination/scatterer/types.go
@@ -136,7 +136,9 @@
 	Attempt    uint64
 	SubRequest int
 	Server     *lister.Server
-	Reason     Reason
+	// Limited means that the server has announced a limit.
+	Limited bool
+	Reason  Reason
 	// Expected is the latency that was expected of the server.
 	Expected time.Duration
 	Deadline time.Time
