--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -79,6 +79,8 @@
 	mu        sync.Mutex
 	behaviour Behaviour
 	arrivals  []Arrival
+	// received holds when each request was read, also of those rejected.
+	received []time.Time
 	conns     map[net.Conn]bool
 	opened    atomic.Int64
 	rejected  atomic.Int64
@@ -130,6 +132,27 @@
 	return append([]Arrival(nil), s.arrivals...)
 }
 
+// MostReceived returns the greatest number of requests received in any span of a length.
+func (s *Server) MostReceived(span time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most, first := 0, 0
+	for last, at := range s.received {
+		for at.Sub(s.received[first]) > span {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// ForgetReceived restarts the count of MostReceived.
+func (s *Server) ForgetReceived() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.received = nil
+}
+
 // Opened returns the number of connections accepted so far.
 func (s *Server) Opened() int { return int(s.opened.Load()) }
 
@@ -186,6 +209,7 @@
 func (s *Server) answer(conn net.Conn, r *http.Request, body string) bool {
 	s.mu.Lock()
 	b := s.behaviour
+	s.received = append(s.received, time.Now())
 	s.mu.Unlock()
 	id := r.Header.Get("X-Request-Id")
 	expected := r.Header.Get("X-Expect-Instance")
