pkg/coordination/allotter: hosts share the limit of a backend server by demand

Cause: no decision read Server-Limit, and none could have kept it: hosts decide alone, while the limit is for all of them together. One host's load is up to 60 times another's, so equal shares leave most of the limit unused. Change: the host that registered first allots tokens for a group of servers (one such host for each 64), others ask it while they have requests there; shares follow demand, unused ones go to others. Each attempt of any kind spends a token of the host that sends it. A request without a token goes to the next best server, waits up to 30 ms if an ask may bring one, or is refused as not run with the time to the next token. A host that nobody answers uses a quarter of its equal share. Shards with a limit are not part of slices. The end of a limit and changes travel with the asks. Why it works: tokens are allotted at the limit and live one second, so that any 4 s see at most 5 s of tokens and the pool: 5.4 times the limit + 3 where 6 times + 5 are allowed. Which host allots follows from the registrations in the store, and lists of different age agree on it, since a later host is always the last. Conclusion: the class of fault is a quota for all hosts that each one applies alone.

--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -127,6 +127,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_peer_calls_total{ok=\"%t\"}", err == nil)).Inc()
 }
 
+// tokenAsk records an ask of this host for tokens.
+func (c *counters) tokenAsk(err error) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_token_asks_total{ok=\"%t\"}", err == nil)).Inc()
+}
+
 func (c *counters) delegated(err error) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_queries_handed_over_total{ok=\"%t\"}", err == nil)).Inc()
 }
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -340,6 +340,9 @@
 	for _, notice := range takeDraining(response.Header, host.ID) {
 		f.engine.push(notice)
 	}
+	for _, notice := range takeLimits(response.Header, host.ID) {
+		f.engine.push(notice)
+	}
 	return &Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
@@ -398,7 +401,7 @@
 			continue
 		}
 		name := object.Key[len(f.cfg.Layout.HostPrefix):]
-		hosts = append(hosts, delegator.Host{Name: name, Domain: r.Domain, Address: r.Control, Capacity: r.Capacity, Link: r.Link})
+		hosts = append(hosts, delegator.Host{Name: name, Domain: r.Domain, Address: r.Control, Capacity: r.Capacity, Link: r.Link, Registered: object.Version})
 	}
 	return hosts
 }
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -81,6 +81,8 @@
 	// draining holds the servers that announced in their answers to the request that
 	// they are draining.
 	draining []*lister.Server
+	// limits holds the limits because of which a slice lacks sub-requests.
+	limits []limitNotice
 }
 
 // abandonment reports that the caller or the delegating host no longer waits for a
@@ -169,6 +171,9 @@
 	notReadySince time.Time
 	// delegateSlice has a host of another failure domain gather some sub-requests.
 	delegateSlice func(ctx context.Context, r *arrival, s *scatterer.SendSlice) []*Answer
+	// askHosts asks other hosts for tokens; asking is true while it runs.
+	askHosts func(ctx context.Context, asks []allotter.Ask) (grants []allotter.Grant, unanswered []allotter.Ask)
+	asking   bool
 	// checkStore reads from the store until a read succeeds. It pushes a storeState
 	// event when the first read fails, and another one when a later read succeeds.
 	checkStore func()
@@ -193,11 +198,12 @@
 	done   chan struct{}
 }
 
-func newEngine(cfg Config, metrics *counters, c *client, checkStore, probeOtherDomains func(), delegateSlice func(context.Context, *arrival, *scatterer.SendSlice) []*Answer) *engine {
+func newEngine(cfg Config, metrics *counters, c *client, f *Forwarder, checkStore, probeOtherDomains func()) *engine {
 	servers := lister.New(lister.Config{Retention: retention, Quarantine: quarantine})
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &engine{
-		log: cfg.Logger, domain: cfg.Settings.Domain, metrics: metrics, client: c, checkStore: checkStore, probeOtherDomains: probeOtherDomains, delegateSlice: delegateSlice,
+		log: cfg.Logger, domain: cfg.Settings.Domain, metrics: metrics, client: c, checkStore: checkStore, probeOtherDomains: probeOtherDomains,
+		delegateSlice: f.delegateSlice, askHosts: f.askForTokens,
 		queue:       queuer.New[event](eventQueueCapacity),
 		machine:     scatterer.New(cfg.Settings.scatterer(), servers),
 		servers:     servers,
@@ -251,6 +257,7 @@
 			e.metrics.updateBudget(e.machine)
 		case <-assessment.C:
 			e.assess(time.Now())
+			e.askForTokens(time.Now())
 		case <-e.ctx.Done():
 			return
 		}
@@ -292,6 +299,8 @@
 		e.assessor.PeerNotReady(now)
 	case drainNotice:
 		e.markDraining(item.id, item.startedAtMillis, item.host)
+	case tokensAnswered, limitNotice, hostCount:
+		e.stepLimits(now, item)
 	case delegationEnd:
 		e.assessor.RequestEnded(now, item.served)
 	case policyChange:
@@ -342,33 +351,9 @@
 			"pauseMillis", item.answer.Pause.Milliseconds(), "status", item.answer.Status)
 		e.machine.Pause(time.Now(), item.server, item.answer.Pause)
 	}
-	e.processLimit(item)
-}
-
-// processLimit records the limit that a server announces in its answer.
-func (e *engine) processLimit(item attemptEnd) {
-	if item.answer.LimitErr != nil {
-		e.log.Warn(logger.LimitRejected, "server", item.server.ID, "domain", item.server.Domain, "error", item.answer.LimitErr)
-	}
-	if item.answer.Limit == nil || item.server == nil {
-		return
-	}
-	limit := *item.answer.Limit
-	change, usage := e.machine.Limit(time.Now(), item.server, limit)
-	if change == allotter.Unchanged {
-		return
-	}
-	event := logger.LimitChanged
-	switch change {
-	case allotter.Started:
-		event = logger.LimitStarted
-	case allotter.Ended:
-		event = logger.LimitEnded
-	case allotter.Unchanged, allotter.Raised, allotter.Lowered:
+	if item.server != nil {
+		e.processLimit(item.server, item.answer)
 	}
-	e.metrics.limited.Set(float64(e.machine.LimitedServers()))
-	e.log.Info(event, "server", item.server.ID, "domain", item.server.Domain, "born", item.server.StartedAtMillis,
-		"perSecond", limit.Rate, "before", usage.Limit.Rate, "attempts", usage.Attempts, "forMillis", usage.For.Milliseconds())
 }
 
 // markDraining records that a server has announced that it is draining; source is
@@ -400,6 +385,8 @@
 			e.send(a)
 		case *scatterer.SendSlice:
 			e.sendSlice(a)
+		case *scatterer.AskTokens:
+			e.askForTokens(time.Now())
 		case *scatterer.Cancel:
 			s, ok := e.outstanding[a.Attempt]
 			if ok {
@@ -481,7 +468,7 @@
 			"tookMillis", a.Took.Milliseconds(), "leftMillis", (r.call.Remaining - a.Took).Milliseconds())
 	}
 	e.assessor.RequestEnded(time.Now(), true)
-	r.reply <- reply{answers: answers, draining: r.draining}
+	r.reply <- reply{answers: answers, draining: r.draining, limits: e.limitsOf(r, a.Missing)}
 	e.forget(a.Request)
 }
 
@@ -512,7 +499,7 @@
 		"retryAfterMillis", a.Failure.RetryAfter.Milliseconds(), "missing", describeMissing(a.Missing),
 		"tookMillis", a.Took.Milliseconds(), "leftMillis", (r.call.Remaining - a.Took).Milliseconds())
 	e.assessor.RequestEnded(time.Now(), false)
-	r.reply <- reply{failure: a.Failure, draining: r.draining}
+	r.reply <- reply{failure: a.Failure, draining: r.draining, limits: e.limitsOf(r, a.Missing)}
 	e.forget(a.Request)
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -66,6 +66,7 @@
 	client   *client
 	bodies   *bodyReader
 	delegate *delegate
+	tokens   *tokenBroker
 	engine   *engine
 	// listeners are those for readiness, metrics and other hosts; callers is the one
 	// for callers.
@@ -115,12 +116,12 @@
 		cfg: cfg, metrics: newCounters(), client: newClient(cfg.Dialect, b), bodies: b,
 		objects: cacher.New(), eras: newEras(), source: watcher.NewSource(maxPeerAge),
 	}
-	f.delegate = newDelegate(cfg)
+	f.delegate, f.tokens = newDelegate(cfg), newTokenBroker()
 	f.settings.Store(&cfg.Settings)
 	f.store.Store(&openStore{f.connect(cfg.Settings.Store), cfg.Settings.Store})
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
-	f.engine = newEngine(cfg, f.metrics, f.client, func() { f.checkStore(ctx) }, func() { f.probeOtherDomains(ctx) }, f.delegateSlice)
+	f.engine = newEngine(cfg, f.metrics, f.client, f, func() { f.checkStore(ctx) }, func() { f.probeOtherDomains(ctx) })
 	err := f.listen()
 	if err != nil {
 		f.Close()
@@ -151,6 +152,7 @@
 		metrics.WriteProcessMetrics(w)
 	})
 	calls := http.NewServeMux()
+	calls.HandleFunc("POST "+tokensPath, f.serveTokens)
 	calls.Handle(exchangerconnect.NewControlHandler(control{f: f}, connector.HandlerOptions(nil)))
 	settings := *f.settings.Load()
 	addresses := &settings.Listen
@@ -273,5 +275,6 @@
 	f.eras.close()
 	f.client.close()
 	f.delegate.close()
+	f.tokens.close()
 	f.store.Load().Close()
 }
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -177,7 +177,13 @@
 	if a.delegated {
 		addDraining(w.Header(), end.draining)
 	}
+	if a.slice {
+		addLimits(w.Header(), end.limits)
+	}
 	if end.failure != nil {
+		if a.slice && end.failure.Code.NotRun() {
+			w.Header().Set(notRunHeader, "1")
+		}
 		f.writeFailure(w, end.failure)
 		return
 	}
--- a/internal/forwarder/members.go
+++ b/internal/forwarder/members.go
@@ -114,6 +114,7 @@
 func (f *Forwarder) updateHosts() {
 	before, after := f.delegate.setHosts(f.readHosts)
 	f.metrics.hosts.Set(float64(after))
+	f.engine.push(hostCount{after})
 	f.cfg.Logger.Info(logger.HostsChanged, "hosts", after, "before", before)
 }
 
--- a/internal/forwarder/policy.go
+++ b/internal/forwarder/policy.go
@@ -98,6 +98,7 @@
 		HedgeFraction:       valueOr(p.HedgeFraction, defaultHedgeFraction),
 		Retries:             valueOr(p.Retries, true),
 		LateFactor:          valueOr(p.LateFactor, defaultLateFactor),
+		Hosts:               assumedHosts,
 		Extra:               s.Extra.planned(),
 		MinSliceSubRequests: valueOr(p.SliceParts, defaultSliceParts),
 		SliceFactor:         valueOr(p.SliceFactor, defaultSliceFactor),
--- a/internal/forwarder/slice.go
+++ b/internal/forwarder/slice.go
@@ -26,6 +26,8 @@
 	neededHeader = "X-Rhubarbpost-Needed"
 	// proofHeader has one line with the proof of each covered shard.
 	proofHeader = "X-Rhubarbpost-Proof"
+	// notRunHeader marks the refusal of a slice of which no server has run a part.
+	notRunHeader = "X-Rhubarbpost-Not-Run"
 	// sliceReserve is how much of the latency objective is reserved for the exchange
 	// of a slice: delegationReserve, and 3 ms to merge the slice with the other answers.
 	sliceReserve = 5 * time.Millisecond
@@ -35,6 +37,8 @@
 	sliceReceiptTimeout = 30 * time.Millisecond
 )
 
+var errSliceRefused = errors.New("the gathering host refused the slice, which has not run")
+
 var errNoHost = errors.New("no usable gathering host is listed in the failure domain")
 
 // delegateSlice has a host of another failure domain gather the shards of a slice
@@ -80,6 +84,8 @@
 	switch {
 	case err != nil:
 		return nil, err
+	case answer.Header.Get(notRunHeader) != "":
+		return failedSlice(s, &Answer{Code: classifier.NotSent, Err: errSliceRefused}), nil
 	case answer.Status != http.StatusOK:
 		// The other host has run the slice and reports a failure.
 		return failedSlice(s, &Answer{Code: classifier.ServerFailed, Exhausted: true}), nil
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -81,9 +81,9 @@
 	arrivals  []Arrival
 	// received holds when each request was read, also of those rejected.
 	received []time.Time
-	conns     map[net.Conn]bool
-	opened    atomic.Int64
-	rejected  atomic.Int64
+	conns    map[net.Conn]bool
+	opened   atomic.Int64
+	rejected atomic.Int64
 	// restarts counts the incarnations after the first.
 	restarts atomic.Int64
 	workers  sync.WaitGroup
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -71,6 +71,7 @@
 	LimitRejected        Event = 539
 	SettingsReloaded     Event = 540
 	SettingsRejected     Event = 541
+	TokensMissed         Event = 542
 	LinesDropped         Event = 550
 	LibraryLogged        Event = 551
 )
@@ -133,6 +134,7 @@
 	{LimitRejected, "limitRejected", "A backend server has announced a limit that can't be read; what was known of its limit holds on."},
 	{SettingsReloaded, "settingsReloaded", "The settings file has changed and is in force."},
 	{SettingsRejected, "settingsRejected", "The changed settings file is invalid; the previous settings stay in force."},
+	{TokensMissed, "tokensMissed", "No host has answered an ask for a share of the limits of backend servers; this host uses a part of its equal share."},
 	{LinesDropped, "linesDropped", "Log lines were dropped to limit the log volume."},
 	{LibraryLogged, "libraryNoted", "A library wrote a log line, such as net/http about a connection with bytes that belong to no request."},
 }
--- /dev/null
+++ b/pkg/coordination/allotter/allotter.go
@@ -0,0 +1,167 @@
+package allotter
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"time"
+)
+
+const (
+	// poolTime is the time for which tokens that nobody takes are kept. It exceeds
+	// AskInterval, so that a single host can use the whole limit.
+	poolTime = 400 * time.Millisecond
+	// minDepth is the least number of tokens that are kept, for low limits: requests come
+	// unevenly.
+	minDepth = 3
+	// demandTime is the time constant with which the demand of a host is averaged.
+	demandTime = time.Second
+	// askerLife is how long a host that doesn't ask is remembered.
+	askerLife = 5 * time.Second
+	// creditTime is the time for which a host may save its share of a limit.
+	creditTime = time.Second
+	// horizon is the time for which a host gets tokens ahead: the interval of its asks and
+	// what they may be late.
+	horizon = AskInterval * 3 / 2
+	// poolLife is how long an unused pool is kept.
+	poolLife = 30 * time.Second
+)
+
+// demand is a count of wanted requests that decays with demandTime.
+type demand struct {
+	count float64
+	at    time.Time
+}
+
+// add adds requests and returns the rate per second.
+func (d *demand) add(now time.Time, n int) float64 {
+	d.count = d.count*math.Exp(-now.Sub(d.at).Seconds()/demandTime.Seconds()) + float64(n)
+	d.at = now
+	return d.count / demandTime.Seconds()
+}
+
+// asker is what is known of one host that asks for the tokens of a server.
+type asker struct {
+	demand
+
+	// credit is what the host may still get of its share of the limit, in tokens.
+	credit float64
+}
+
+// pool has the tokens of one server that are not allotted yet.
+type pool struct {
+	limit      Limit
+	heardAt    time.Time
+	tokens     float64
+	refilledAt time.Time
+	// demand is that of all hosts together.
+	demand demand
+	askers map[string]*asker
+}
+
+// depth returns the number of tokens that the pool holds at most.
+func (p *pool) depth() float64 {
+	return max(minDepth, p.limit.rate()*poolTime.Seconds())
+}
+
+// Allotter allots the tokens of the servers for which its host is responsible.
+type Allotter struct {
+	pools   map[Incarnation]*pool
+	sweptAt time.Time
+}
+
+// New returns an allotter without tokens.
+func New() *Allotter {
+	return &Allotter{pools: make(map[Incarnation]*pool)}
+}
+
+// Len returns the number of servers whose tokens were asked for recently.
+func (a *Allotter) Len() int {
+	return len(a.pools)
+}
+
+// Allot answers the asks of a host.
+func (a *Allotter) Allot(now time.Time, host string, asks []Ask) []Grant {
+	a.sweep(now)
+	grants := make([]Grant, 0, len(asks))
+	for _, ask := range asks {
+		grants = append(grants, a.pool(now, ask).allot(now, host, ask))
+	}
+	return grants
+}
+
+// sweep drops the pools and hosts that have not been asked for, or have not asked, lately.
+func (a *Allotter) sweep(now time.Time) {
+	if now.Sub(a.sweptAt) < askerLife {
+		return
+	}
+	a.sweptAt = now
+	for server, p := range a.pools {
+		if now.Sub(p.refilledAt) >= poolLife {
+			delete(a.pools, server)
+		}
+		maps.DeleteFunc(p.askers, func(_ string, h *asker) bool { return now.Sub(h.at) >= askerLife })
+	}
+}
+
+// pool returns the pool of a server, refilled, with the newest limit that a host has told.
+func (a *Allotter) pool(now time.Time, ask Ask) *pool {
+	p := a.pools[ask.Incarnation]
+	if p == nil {
+		// The pool holds what the host would have gained since an ask before.
+		p = &pool{limit: ask.Limit, refilledAt: now.Add(-AskInterval), demand: demand{at: now}, askers: make(map[string]*asker)}
+		a.pools[ask.Incarnation] = p
+	}
+	p.tokens += p.limit.rate() * now.Sub(p.refilledAt).Seconds()
+	p.refilledAt = now
+	heardAt := now.Add(-time.Duration(ask.AgeMillis) * time.Millisecond)
+	if heardAt.After(p.heardAt) {
+		p.limit, p.heardAt = ask.Limit, heardAt
+	}
+	p.tokens = min(p.tokens, p.depth())
+	return p
+}
+
+func (p *pool) allot(now time.Time, host string, ask Ask) Grant {
+	g := Grant{Incarnation: ask.Incarnation, Limit: p.limit, AgeMillis: now.Sub(p.heardAt).Milliseconds()}
+	if !p.limit.Stated {
+		return g
+	}
+	h := p.askers[host]
+	if h == nil {
+		h = &asker{demand: demand{at: now}, credit: 1}
+		p.askers[host] = h
+	}
+	since := now.Sub(h.at).Seconds()
+	rate, share, total := p.limit.rate(), h.add(now, ask.Wanted), p.demand.add(now, ask.Wanted)
+	scarce := total > rate
+	if scarce {
+		share *= rate / total
+	}
+	h.credit = min(h.credit+share*since, max(1, share*creditTime.Seconds()))
+	need := math.Ceil(share*horizon.Seconds()) - float64(ask.Held)
+	available := p.tokens
+	if scarce {
+		// What fills more than half of the pool is not used by the hosts to which it is due.
+		available = min(p.tokens, max(h.credit, p.tokens-p.depth()/2))
+	}
+	n := math.Floor(max(0, min(need, available)))
+	p.tokens -= n
+	h.credit = max(h.credit-n, -1)
+	g.Tokens = int(n)
+	g.WaitMillis = int64(1000 * max((1-p.tokens)/rate, p.creditWait(h, share, scarce)))
+	return g
+}
+
+// creditWait returns the seconds until a host has the credit for a token.
+func (p *pool) creditWait(h *asker, share float64, scarce bool) float64 {
+	if !scarce || share <= 0 {
+		return 0
+	}
+	return max(0, (1-h.credit)/share)
+}
+
+// compare orders incarnations.
+func compare(a, b Incarnation) int {
+	return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.StartedAtMillis, b.StartedAtMillis))
+}
--- a/pkg/coordination/allotter/limit.go
+++ b/pkg/coordination/allotter/limit.go
@@ -3,15 +3,50 @@
 // Limit is the rate at which a backend server takes requests from all hosts together.
 type Limit struct {
 	// Stated is false if the server announces no limit.
-	Stated bool
+	Stated bool `json:"stated"`
 	// Rate is in requests per second, at least 0.
-	Rate float64
+	Rate float64 `json:"perSecond"`
+}
+
+// probeRate is the least rate, in requests per second, at which tokens are allotted. Only
+// an answer shows that a limit has been raised or has ended.
+const probeRate = 0.2
+
+// rate returns the rate at which tokens are allotted.
+func (l Limit) rate() float64 {
+	return max(l.Rate, probeRate)
 }
 
 // Incarnation identifies one run of a backend server.
 type Incarnation struct {
-	Server          string
-	StartedAtMillis int64
+	Server          string `json:"server"`
+	StartedAtMillis int64  `json:"born"`
+}
+
+// Ask is what a host tells and wants of the limit of one server.
+type Ask struct {
+	Incarnation
+
+	Limit Limit `json:"limit"`
+	// AgeMillis is how long ago the server has announced the limit to the asking host.
+	AgeMillis int64 `json:"ageMillis"`
+	// Wanted is the number of requests for the server since the last ask.
+	Wanted int `json:"wanted"`
+	// Held is the number of tokens that the host has left.
+	Held int `json:"held"`
+}
+
+// Grant is the answer to an Ask.
+type Grant struct {
+	Incarnation
+
+	// Tokens is the number of requests that the host may send beyond those held.
+	Tokens int `json:"tokens"`
+	// Limit is the newest limit that any host has told, AgeMillis ago.
+	Limit     Limit `json:"limit"`
+	AgeMillis int64 `json:"ageMillis"`
+	// WaitMillis is the time after which the host can expect its next token.
+	WaitMillis int64 `json:"waitMillis"`
 }
 
 // Change is how an announcement changes what is known of the limit of a server.
@@ -22,43 +57,21 @@
 	Unchanged Change = iota
 	// Started means that the server had no limit before.
 	Started
-	// Raised means that the limit has grown.
-	Raised
-	// Lowered means that the limit has shrunk.
-	Lowered
+	// Changed means that the limit has grown or shrunk.
+	Changed
 	// Ended means that the server announces no limit any more.
 	Ended
 )
 
-// String returns the name of the change, as written in logs.
-func (c Change) String() string {
-	switch c {
-	case Started:
-		return "started"
-	case Raised:
-		return "raised"
-	case Lowered:
-		return "lowered"
-	case Ended:
-		return "ended"
-	case Unchanged:
-	}
-	return "unchanged"
-}
-
 // changeOf compares two limits.
 func changeOf(before, after Limit) Change {
 	switch {
-	case !before.Stated && !after.Stated:
+	case before == after:
 		return Unchanged
 	case !before.Stated:
 		return Started
 	case !after.Stated:
 		return Ended
-	case after.Rate > before.Rate:
-		return Raised
-	case after.Rate < before.Rate:
-		return Lowered
 	}
-	return Unchanged
+	return Changed
 }
--- a/pkg/coordination/delegator/delegator.go
+++ b/pkg/coordination/delegator/delegator.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/storer"
 )
 
 const (
@@ -45,6 +46,8 @@
 	Capacity float64
 	// Link is the bandwidth of its link in Mbit/s, 0 if unknown.
 	Link float64
+	// Registered is the version of the host's registration in the store.
+	Registered storer.Version
 }
 
 // subRequestRate returns the number of sub-requests per second that the host can
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -102,6 +102,8 @@
 	unconfirmed bool
 	// refusal is the result code of a request that only waits for its attempts to end.
 	refusal classifier.Code
+	// waiting is set while the request waits for tokens, before its first attempt.
+	waiting *Arrived
 	arrived time.Time
 	// hedgeAt is when late sub-requests are hedged, zero once that is done.
 	hedgeAt time.Time
@@ -135,6 +137,8 @@
 	directory Directory
 	placer    *placer.Placer
 	limits    *allotter.Ledger
+	// waiting is the number of requests that wait for tokens.
+	waiting int
 	// requests has the requests in flight by ID, attempts the outstanding attempts.
 	requests map[uint64]*request
 	attempts map[uint64]*attempt
@@ -156,7 +160,7 @@
 		cfg:       cfg,
 		directory: directory,
 		placer:    placer.New(cfg.Placer),
-		limits:    allotter.NewLedger(),
+		limits:    allotter.NewLedger(cfg.Hosts),
 		requests:  make(map[uint64]*request),
 		attempts:  make(map[uint64]*attempt),
 		routes:    make(map[routeKey]*routeStats),
@@ -194,7 +198,6 @@
 // Forget drops the observations of a server that is no longer listed.
 func (m *Machine) Forget(now time.Time, id string) {
 	m.placer.Forget(now, id)
-	m.limits.Forget(id)
 }
 
 // DomainUnreachable reports whether any other failure domain has left attempts unanswered
@@ -208,21 +211,6 @@
 	m.placer.Pause(now, server, d)
 }
 
-// Limit records what an answer of a server says of its limit for all hosts together. The
-// usage is that under the limit known before.
-func (m *Machine) Limit(now time.Time, server *lister.Server, limit allotter.Limit) (allotter.Change, allotter.Usage) {
-	return m.limits.Observe(now, incarnation(server), limit)
-}
-
-// LimitedServers returns the number of servers that have announced a limit.
-func (m *Machine) LimitedServers() int {
-	return m.limits.Len()
-}
-
-func incarnation(s *lister.Server) allotter.Incarnation {
-	return allotter.Incarnation{Server: s.ID, StartedAtMillis: s.StartedAtMillis}
-}
-
 // RegistrationChanged records that the registration of a server has changed.
 func (m *Machine) RegistrationChanged(id string) {
 	m.placer.RegistrationChanged(id)
@@ -259,6 +247,8 @@
 			r = cmp.Or(m.handleAttemptEnded(now, end), r)
 		}
 		m.finishOrWait(now, r)
+	case *TokensAsked:
+		m.resumeAll(now)
 	case *Abandoned:
 		r := m.requests[e.Request]
 		if r != nil {
@@ -273,7 +263,21 @@
 func (m *Machine) handleArrived(now time.Time, e *Arrived) {
 	r := m.newRequest(now, e)
 	m.requests[r.id] = r
+	m.begin(now, r, e, true)
+}
+
+// begin sends the first attempts of a request or refuses it. With mayWait set, a request
+// for which an ask may bring tokens waits for that instead.
+func (m *Machine) begin(now time.Time, r *request, e *Arrived, mayWait bool) {
 	choices := m.chooseAll(now, r)
+	var planned *slice
+	if !e.Slice && !late(r.expectedLatency(choices), r.earlyAnswerAt.Sub(now), m.cfg.SliceFactor) {
+		planned = m.planSlice(now, r, choices)
+	}
+	limited := m.applyLimits(now, r, choices, planned, mayWait)
+	if limited > 0 && mayWait && m.waitForTokens(now, r, e, choices) {
+		return
+	}
 	withServer, usable := 0, 0
 	for _, choice := range choices {
 		if choice.Server == nil {
@@ -285,10 +289,6 @@
 		}
 	}
 	expected, left := r.expectedLatency(choices), r.earlyAnswerAt.Sub(now)
-	var planned *slice
-	if !e.Slice && !late(expected, left, m.cfg.SliceFactor) {
-		planned = m.planSlice(now, r, choices)
-	}
 	for i := range r.subRequests {
 		// Each sub-request adds to the budget of its service, also if the request is then
 		// refused; those of a slice are counted by the gathering host.
@@ -300,7 +300,12 @@
 	// If too few sub-requests have an available server, the request is sent only as a probe,
 	// which shows whether unavailable servers have recovered. A probe needs servers too, even
 	// if unavailable ones.
-	if !r.meetsCoverage(withServer) || (!r.meetsCoverage(usable) && !m.mayProbe(now, r)) {
+	switch {
+	case !r.meetsCoverage(withServer) && r.meetsCoverage(withServer+limited):
+		m.setMissingCodes(now, r, choices)
+		m.refuse(now, r, classifier.LimitReached)
+		return
+	case !r.meetsCoverage(withServer), !r.meetsCoverage(usable) && !m.mayProbe(now, r):
 		m.refuse(now, r, classifier.NoServer)
 		return
 	}
@@ -331,7 +336,7 @@
 			probes--
 			continue
 		}
-		choices[i], _ = m.preferNonSuspect(now, r, &r.subRequests[i])
+		choices[i], _ = m.preferNonSuspect(now, r, &r.subRequests[i], m.directory.Servers(r.subRequests[i].service))
 	}
 	return choices
 }
@@ -341,7 +346,7 @@
 	for i := range r.subRequests {
 		switch {
 		case choices[i].Server == nil:
-			m.markDone(r, &r.subRequests[i], classifier.NoServer)
+			m.markDone(r, &r.subRequests[i], m.noChoiceCode(now, &r.subRequests[i]))
 		case !planned.contains(i):
 			m.send(now, r, i, choices[i], ReasonFirst)
 		}
@@ -486,14 +491,14 @@
 	return m.placer.Choose(now, m.directory.Servers(sub.service), sub.sentTo, time.Duration(r.stats.typicalLatency))
 }
 
-// preferNonSuspect chooses a server that is not a suspect, if one is available, and
-// otherwise like chooseServer.
-func (m *Machine) preferNonSuspect(now time.Time, r *request, sub *subRequest) (placer.Choice, bool) {
-	choice, ok := m.chooseServer(now, r, sub)
+// preferNonSuspect chooses among some servers of a sub-request one that is not a suspect,
+// if one is available, and otherwise any of them.
+func (m *Machine) preferNonSuspect(now time.Time, r *request, sub *subRequest, servers []*lister.Server) (placer.Choice, bool) {
+	choice, ok := m.placer.Choose(now, servers, sub.sentTo, time.Duration(r.stats.typicalLatency))
 	if !choice.Suspect {
 		return choice, ok
 	}
-	preferred, found := m.placer.ChooseNonSuspect(now, m.directory.Servers(sub.service), sub.sentTo, time.Duration(r.stats.typicalLatency))
+	preferred, found := m.placer.ChooseNonSuspect(now, servers, sub.sentTo, time.Duration(r.stats.typicalLatency))
 	if found && !preferred.Unavailable {
 		return preferred, true
 	}
@@ -518,7 +523,7 @@
 	sub.sentTo = append(sub.sentTo, choice.Server.ID)
 	m.placer.Sent(now, choice.Server)
 	m.actions = append(m.actions, &Send{
-		Request: r.id, Attempt: a.id, SubRequest: i, Server: choice.Server, Limited: m.limits.Sent(incarnation(choice.Server)), Reason: reason,
+		Request: r.id, Attempt: a.id, SubRequest: i, Server: choice.Server, Limited: m.limits.Sent(now, incarnation(choice.Server)), Reason: reason,
 		Expected: r.stats.expectedLatency(choice), Deadline: r.deadline,
 	})
 }
@@ -649,7 +654,7 @@
 	if !mayRetry || sub.possibleRuns >= r.maxRuns() || len(sub.sentTo) >= r.route.Attempts+notRunAllowance || !now.Before(r.deadline) {
 		return e.Code
 	}
-	choice, ok := m.preferNonSuspect(now, r, sub)
+	choice, ok := m.preferNonSuspect(now, r, sub, m.withTokens(now, sub.service, extraReserve))
 	if !ok || choice.Unavailable {
 		return e.Code
 	}
@@ -705,6 +710,10 @@
 		}
 		r := timer.Owner
 		m.timers.Clear(&r.timer)
+		if r.waiting != nil {
+			m.resume(now, r)
+			continue
+		}
 		m.hedgeIfDue(now, r)
 		m.finishOrWait(now, r)
 	}
@@ -738,7 +747,7 @@
 		if sub.done || len(sub.outstanding) != 1 || sub.outstanding[0].server == nil || sub.possibleRuns >= r.maxRuns() {
 			continue
 		}
-		choice, ok := m.preferNonSuspect(now, r, sub)
+		choice, ok := m.preferNonSuspect(now, r, sub, m.withTokens(now, sub.service, extraReserve))
 		if !ok || choice.Unavailable || choice.OverloadProne || !now.Add(r.stats.expectedLatency(choice)).Before(limit) {
 			continue
 		}
@@ -849,16 +858,25 @@
 }
 
 // expectedWait returns the expected time to the answer of a sub-request, at most
-// noServerRetryAfter. If no server can be chosen and some are paused, it returns the time
-// until the first pause ends; if no server is available otherwise, noServerRetryAfter.
+// noServerRetryAfter. If no server can be chosen and some are paused or limited, it returns
+// the time until the first of them may get a request; if no server is available otherwise,
+// noServerRetryAfter.
 func (m *Machine) expectedWait(now time.Time, r *request, sub *subRequest) time.Duration {
-	servers := m.directory.Servers(sub.service)
-	choice, ok := m.placer.Choose(now, servers, nil, time.Duration(r.stats.typicalLatency))
+	choice, ok := m.placer.Choose(now, m.withTokens(now, sub.service, 0), nil, time.Duration(r.stats.typicalLatency))
 	if ok && !choice.Unavailable {
 		return min(r.stats.expectedLatency(choice), noServerRetryAfter)
 	}
+	servers := m.directory.Servers(sub.service)
+	token, limited := m.tokenWait(now, servers)
 	pause, paused := m.placer.PauseLeft(now, servers)
-	if !ok && paused {
+	switch {
+	case ok:
+		return noServerRetryAfter
+	case limited && paused:
+		return min(token, pause)
+	case limited:
+		return token
+	case paused:
 		return pause
 	}
 	return noServerRetryAfter
@@ -869,6 +887,7 @@
 	for i := range r.subRequests {
 		m.cancelOutstanding(now, r, &r.subRequests[i])
 	}
+	m.stopWaiting(r)
 	m.timers.Clear(&r.timer)
 	delete(m.requests, r.id)
 }
--- a/pkg/coordination/scatterer/slices.go
+++ b/pkg/coordination/scatterer/slices.go
@@ -25,7 +25,8 @@
 // planSlice plans a slice for the other failure domain in which most servers were chosen.
 // The slice has the sub-requests whose chosen server is in that domain, and those whose
 // chosen server is in a third domain but that an available server of that domain can run
-// too. The result is nil if the slice would have fewer than MinSliceSubRequests, or if the
+// too. Servers with a limit are left out: this host must know whether they take the request
+// before it sends any part of it. The result is nil if the slice would have fewer than MinSliceSubRequests, or if the
 // request is not an idempotent query over shards. planSlice is not called under overload:
 // this host must then observe the queues of all servers itself to refuse requests in time.
 func (m *Machine) planSlice(now time.Time, r *request, choices []placer.Choice) *slice {
@@ -35,7 +36,7 @@
 	counts := make(map[string]int)
 	best := ""
 	for i := range r.subRequests {
-		if !m.inOtherDomain(choices[i]) {
+		if !m.inOtherDomain(choices[i]) || m.limits.Limited(incarnation(choices[i].Server)) {
 			continue
 		}
 		domain := choices[i].Server.Domain
@@ -47,7 +48,7 @@
 	s := &slice{domain: best}
 	for i, choice := range choices {
 		switch {
-		case m.inOtherDomain(choice) && (choice.Server.Domain == best || m.domainCanServe(now, r, i, best)):
+		case m.inOtherDomain(choice) && !m.limits.Limited(incarnation(choice.Server)) && (choice.Server.Domain == best || m.domainCanServe(now, r, i, best)):
 			s.subRequests = append(s.subRequests, i)
 		case choice.Server != nil && !choice.Unavailable:
 			s.otherAnswers++
--- a/pkg/coordination/scatterer/types.go
+++ b/pkg/coordination/scatterer/types.go
@@ -26,6 +26,9 @@
 	// LateFactor refuses an idempotent request whose expected latency is more than this
 	// multiple of the time left to its latency objective; 0 refuses none.
 	LateFactor float64
+	// Hosts is the number of hosts that are assumed to share the limits of servers until
+	// SetHosts is called.
+	Hosts int
 	// Extra bounds the hedges and retries.
 	Extra ExtraBudget
 	// MinSliceSubRequests is the least number of sub-requests that are sent together, as
@@ -102,6 +105,9 @@
 	Ends []*AttemptEnded
 }
 
+// TokensAsked means that an ask for tokens has been answered, or will not be.
+type TokensAsked struct{}
+
 // Abandoned means that the caller has disconnected.
 type Abandoned struct {
 	Request uint64
@@ -115,6 +121,7 @@
 func (*AttemptEnded) scattererEvent() {}
 func (*SliceEnded) scattererEvent()   {}
 func (*Abandoned) scattererEvent()    {}
+func (*TokensAsked) scattererEvent()  {}
 func (*TimerFired) scattererEvent()   {}
 
 // Reason is why an attempt is sent.
@@ -158,6 +165,12 @@
 	Deadline time.Time
 }
 
+// AskTokens asks for tokens on behalf of a request that waits for a TokensAsked event, at
+// most askWait.
+type AskTokens struct {
+	Request uint64
+}
+
 // Cancel cancels an attempt whose answer is no longer needed.
 type Cancel struct {
 	Attempt uint64
@@ -198,6 +211,7 @@
 }
 
 func (*SendSlice) scattererAction() {}
+func (*AskTokens) scattererAction() {}
 func (*Send) scattererAction()      {}
 func (*Cancel) scattererAction()    {}
 func (*Complete) scattererAction()  {}
--- a/pkg/protocol/classifier/code.go
+++ b/pkg/protocol/classifier/code.go
@@ -49,6 +49,7 @@
 	UnknownRoute       Code = 1316
 	StaleRoutes        Code = 1317
 	NotSent            Code = 1318
+	LimitReached       Code = 1319
 )
 
 // Result codes of orders.
@@ -123,6 +124,7 @@
 	{UnknownRoute, "unknownRoute", http.StatusNotFound, NotRun, "No route of the configuration in force matches the request."},
 	{StaleRoutes, "staleRoutes", http.StatusServiceUnavailable, NotRun, "No route matches, and the configuration may be out of date."},
 	{NotSent, "notSent", http.StatusServiceUnavailable, NotRun, "The time ended before the request was sent to a backend server."},
+	{LimitReached, "limitReached", http.StatusServiceUnavailable, NotRun, "The backend servers take no more requests now, by the limits that they announce."},
 	{OrderDone, "orderDone", http.StatusOK, Done, "The order has run."},
 	{OrderRepeated, "orderRepeated", http.StatusOK, Done, "The order ran before; this is its recorded result."},
 	{OrderNotRun, "orderNotRun", http.StatusServiceUnavailable, NotRun, "The order has not run."},
