--- a/cmd/lab/cmds/cmds.go
+++ b/cmd/lab/cmds/cmds.go
@@ -97,6 +97,7 @@
 	sub.Int(&cfg.BasePort, "b", "basePort", "First port of the hosts")
 	sub.Int(&cfg.HostsPerDomain, "n", "hosts", "Hosts in each of three failure domains")
 	sub.Int(&cfg.Shards, "s", "shards", "Shards of the query service")
+	sub.String(&cfg.Limit, "l", "limit", "Requests a second that each backend server announces as its limit (default: none)")
 	return command{sub: sub, run: func() error {
 		site, err := standin.StartSite(cfg)
 		if err != nil {
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -66,6 +67,12 @@
 	Deadline string
 }
 
+// Receipt is the receipt of a request at a backend server, whether or not it was run.
+type Receipt struct {
+	ID string
+	At time.Time
+}
+
 // Server simulates a backend server of the platform on loopback. It writes HTTP/1.1
 // itself, so that it can violate the protocol.
 type Server struct {
@@ -79,8 +86,8 @@
 	mu        sync.Mutex
 	behaviour Behaviour
 	arrivals  []Arrival
-	// received holds when each request was read, also of those rejected.
-	received []time.Time
+	// received holds the requests that were read, also those rejected.
+	received []Receipt
 	conns    map[net.Conn]bool
 	opened   atomic.Int64
 	rejected atomic.Int64
@@ -134,11 +141,21 @@
 
 // MostReceived returns the greatest number of requests received in any span of a length.
 func (s *Server) MostReceived(span time.Duration) int {
+	return Most(s.Received(), span)
+}
+
+// Received returns the requests received since ForgetReceived, in the order of their times.
+func (s *Server) Received() []Receipt {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return slices.Clone(s.received)
+}
+
+// Most returns the greatest number of receipts in any span of a length.
+func Most(receipts []Receipt, span time.Duration) int {
 	most, first := 0, 0
-	for last, at := range s.received {
-		for at.Sub(s.received[first]) > span {
+	for last, receipt := range receipts {
+		for receipt.At.Sub(receipts[first].At) > span {
 			first++
 		}
 		most = max(most, last-first+1)
@@ -146,7 +163,7 @@
 	return most
 }
 
-// ForgetReceived restarts the count of MostReceived.
+// ForgetReceived restarts the count of Received and MostReceived.
 func (s *Server) ForgetReceived() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -209,7 +226,7 @@
 func (s *Server) answer(conn net.Conn, r *http.Request, body string) bool {
 	s.mu.Lock()
 	b := s.behaviour
-	s.received = append(s.received, time.Now())
+	s.received = append(s.received, Receipt{ID: r.Header.Get("X-Request-Id"), At: time.Now()})
 	s.mu.Unlock()
 	id := r.Header.Get("X-Request-Id")
 	expected := r.Header.Get("X-Expect-Instance")
--- a/internal/lab/standin/site.go
+++ b/internal/lab/standin/site.go
@@ -42,6 +42,8 @@
 	HostsPerDomain int
 	Domains        []string
 	Shards         int
+	// Limit is the Server-Limit header of all servers, in requests per second; empty for none.
+	Limit string
 }
 
 // Site is a store with a configuration, and the backend servers of its routes.
@@ -100,6 +102,9 @@
 	}
 	slices.SortFunc(file.Rows, func(a, b uint64) int { return cmp.Compare(b, a) })
 	file.Rows = file.Rows[:min(siteRows, len(file.Rows))]
+	for _, server := range s.servers {
+		server.Behave(Behaviour{Limit: cfg.Limit})
+	}
 	s.configure(shards)
 	return s.writeSettings(cfg, &file)
 }
