internal/explainer: limits that a request met

Cause: a limit may have been announced minutes before the request that meets it, so the lines around the request don't show it. Change: explain prints the last line on each limit of the request's host; the summary tells answers that lack shards because of limits from other ones. Result: TestLimitsOfARefusedRequestAreFound fails without it, passes with it. Conclusion: result limitReached in a line leads to server and rate.

--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -6,9 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 )
 
 const (
@@ -37,7 +41,8 @@
 // RequestLog holds the log lines that concern one request.
 type RequestLog struct {
 	// Lines are those of the request; Context are those of the same hosts at about
-	// the same time that belong to no request. Both are sorted by time.
+	// the same time that belong to no request, and earlier ones on limits that it met.
+	// Both are sorted by time.
 	Lines   []Line
 	Context []Line
 	// Skipped counts the lines that are not log lines.
@@ -61,7 +66,7 @@
 	if err != nil {
 		return found, err
 	}
-	found.Context = found.contextOf(others)
+	found.Context = slices.Concat(found.limits(others), found.contextOf(others))
 	byTime := func(a, b Line) int { return a.Time.Compare(b.Time) }
 	slices.SortStableFunc(found.Lines, byTime)
 	slices.SortStableFunc(found.Context, byTime)
@@ -117,6 +122,42 @@
 	return nearby
 }
 
+// limits returns, if the request lacked servers because of their limits, the last line on
+// each limit that its hosts had written long before it.
+func (l *RequestLog) limits(others []Line) []Line {
+	var found []Line
+	for _, line := range l.Lines {
+		if !line.limitReached() {
+			continue
+		}
+		last := make(map[string]Line)
+		for _, other := range others {
+			if other.Host == line.Host && other.changesLimit() && line.Time.Sub(other.Time) > contextWindow {
+				server := fmt.Sprint(other.fields["server"])
+				if !other.Time.Before(last[server].Time) {
+					last[server] = other
+				}
+			}
+		}
+		for _, server := range slices.Sorted(maps.Keys(last)) {
+			found = append(found, last[server])
+		}
+		break
+	}
+	return found
+}
+
+// limitReached reports whether a request or a part of it was refused because of limits.
+func (l Line) limitReached() bool {
+	name := classifier.LimitReached.String()
+	return l.fields["result"] == name || strings.Contains(fmt.Sprint(l.fields["missing"]), "="+name)
+}
+
+// changesLimit reports whether the line states the limit of a server.
+func (l Line) changesLimit() bool {
+	return l.Event == logger.LimitStarted.String() || l.Event == logger.LimitChanged.String() || l.Event == logger.LimitEnded.String()
+}
+
 // Write prints the lines in human-readable form.
 func (l *RequestLog) Write(w io.Writer) {
 	for _, line := range l.Lines {
--- /dev/null
+++ b/internal/explainer/explainer_test.go
@@ -0,0 +1,42 @@
+package explainer
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const limitLogs = `
+{"time":"2026-01-01T10:00:00Z","msg":"limitStarted","host":"a","server":"s1","perSecond":20}
+{"time":"2026-01-01T10:00:01Z","msg":"limitChanged","host":"a","server":"s1","perSecond":5}
+{"time":"2026-01-01T10:00:01Z","msg":"limitStarted","host":"a","server":"s2","perSecond":7}
+{"time":"2026-01-01T10:00:01Z","msg":"limitStarted","host":"b","server":"s1","perSecond":20}
+{"time":"2026-01-01T10:00:02Z","msg":"storeLost","host":"a"}
+{"time":"2026-01-01T10:00:29Z","msg":"limitChanged","host":"a","server":"s2","perSecond":6}
+{"time":"2026-01-01T10:00:30Z","msg":"requestRefused","host":"a","request":"1","result":"limitReached"}
+{"time":"2026-01-01T10:00:30Z","msg":"requestAnswered","host":"a","request":"2","covered":3,"parts":4,"missing":"s=limitReached[]"}
+{"time":"2026-01-01T10:00:30Z","msg":"requestRefused","host":"a","request":"3","result":"noServer"}
+`
+
+// TestLimitsOfARefusedRequestAreFound checks that the lines on the limits which a request met are
+// printed, though they were written long before it.
+func TestLimitsOfARefusedRequestAreFound(t *testing.T) {
+	is := is.New(t)
+	explain := func(request string) string {
+		found, err := Read(request, strings.NewReader(limitLogs))
+		is.NoErr(err)
+		var text strings.Builder
+		found.Write(&text)
+		return text.String()
+	}
+	for _, request := range []string{"1", "2"} {
+		text := explain(request)
+		is.True(strings.Contains(text, "10:00:01.000 a limitChanged perSecond=5 server=s1"))
+		is.True(strings.Contains(text, "10:00:01.000 a limitStarted perSecond=7 server=s2"))
+		is.True(strings.Contains(text, "10:00:29.000 a limitChanged perSecond=6 server=s2"))
+		is.True(!strings.Contains(text, "perSecond=20"))
+		is.True(!strings.Contains(text, "storeLost"))
+	}
+	is.True(!strings.Contains(explain("3"), "server=s1"))
+}
--- a/internal/explainer/summary.go
+++ b/internal/explainer/summary.go
@@ -18,6 +18,7 @@
 	// Result is the name of a result code, or "incomplete" for an answer that lacks shards.
 	Result string
 	// State is that of the host at the time: starting, not ready, store unreachable, or empty.
+	// An answer that lacks shards because of the limits of servers has "server limit".
 	State string
 }
 
@@ -80,7 +81,11 @@
 		covered, _ := line.fields["covered"].(float64)
 		parts, _ := line.fields["parts"].(float64)
 		if covered < parts {
-			s.count(line.Time, Cause{"incomplete", host.label(line.Time)})
+			state := host.label(line.Time)
+			if state == "" && line.limitReached() {
+				state = "server limit"
+			}
+			s.count(line.Time, Cause{"incomplete", state})
 		}
 	}
 }
--- a/internal/explainer/summary_test.go
+++ b/internal/explainer/summary_test.go
@@ -20,6 +20,8 @@
 {"time":"2026-01-01T10:00:07Z","msg":"requestAnswered","host":"a","request":"5","covered":3,"parts":4}
 {"time":"2026-01-01T10:00:07Z","msg":"requestAnswered","host":"a","request":"6","covered":4,"parts":4}
 {"time":"2026-01-01T10:00:07Z","msg":"requestRefused","host":"b","request":"7","result":"overloaded"}
+{"time":"2026-01-01T10:00:08.1Z","msg":"requestAnswered","host":"b","request":"8","covered":3,"parts":4,"missing":"s=limitReached[]"}
+{"time":"2026-01-01T10:00:08.2Z","msg":"requestRefused","host":"b","request":"9","result":"limitReached"}
 no line of a log
 `
 
@@ -34,6 +36,7 @@
 	is.Equal(text.String(), `10:00:00.0 1 notConfigured (starting)
 10:00:04.0 1 noServer (not ready), 1 noServer (store unreachable)
 10:00:06.0 1 incomplete, 1 overloaded
-all 1 incomplete, 1 noServer (not ready), 1 noServer (store unreachable), 1 notConfigured (starting), 1 overloaded
+10:00:08.0 1 incomplete (server limit), 1 limitReached
+all 1 incomplete, 1 incomplete (server limit), 1 limitReached, 1 noServer (not ready), 1 noServer (store unreachable), 1 notConfigured (starting), 1 overloaded
 `)
 }
