pkg/coordination/allotter: a host that begins to allot gets half of the limit for a second

What a server could get: 66 requests in 4 s where 65 are allowed, with the host that allots restarted, another one allotting for a second, a third of the hosts without answers, and demand 30 times the limit. Cause: for up to a second after a host is lost or back, two hosts may allot tokens of one server, each the whole limit. Evidence: one of 3,374 checks of TestLimitHoldsThroughChangesAndFailures (30,000 asked). Change: a new pool fills at half of the limit for its first second. Conclusion: two hosts that allot at once stay within one and a half times the limit while one of them is new.

--- a/pkg/coordination/allotter/allotter.go
+++ b/pkg/coordination/allotter/allotter.go
@@ -23,6 +23,9 @@
 	// horizon is the time for which a host gets tokens ahead: the interval of its asks and
 	// what they may be late.
 	horizon = AskInterval * 3 / 2
+	// settleTime is the time in which a new pool gets half of the limit. Another host may
+	// have allotted the tokens before, and may still do so for some hosts.
+	settleTime = time.Second
 	// poolLife is how long an unused pool is kept.
 	poolLife = 30 * time.Second
 )
@@ -52,6 +55,7 @@
 type pool struct {
 	limit      Limit
 	heardAt    time.Time
+	settledAt  time.Time
 	tokens     float64
 	refilledAt time.Time
 	// demand is that of all hosts together.
@@ -59,6 +63,14 @@
 	askers map[string]*asker
 }
 
+// refill adds the tokens for the time since the last refill.
+func (p *pool) refill(now time.Time) {
+	gained := now.Sub(p.refilledAt)
+	unsettled := min(gained, max(p.settledAt.Sub(p.refilledAt), 0))
+	p.tokens += p.limit.rate() * (gained - unsettled/2).Seconds()
+	p.refilledAt = now
+}
+
 // depth returns the number of tokens that the pool holds at most.
 func (p *pool) depth() float64 {
 	return max(minDepth, p.limit.rate()*poolTime.Seconds())
@@ -109,11 +121,10 @@
 	p := a.pools[ask.Incarnation]
 	if p == nil {
 		// The pool holds what the host would have gained since an ask before.
-		p = &pool{limit: ask.Limit, refilledAt: now.Add(-AskInterval), demand: demand{at: now}, askers: make(map[string]*asker)}
+		p = &pool{limit: ask.Limit, refilledAt: now.Add(-AskInterval), settledAt: now.Add(settleTime), demand: demand{at: now}, askers: make(map[string]*asker)}
 		a.pools[ask.Incarnation] = p
 	}
-	p.tokens += p.limit.rate() * now.Sub(p.refilledAt).Seconds()
-	p.refilledAt = now
+	p.refill(now)
 	heardAt := now.Add(-time.Duration(ask.AgeMillis) * time.Millisecond)
 	if heardAt.After(p.heardAt) {
 		p.limit, p.heardAt = ask.Limit, heardAt
@@ -149,10 +160,16 @@
 	p.tokens -= n
 	h.credit = max(h.credit-n, -1)
 	g.Tokens = int(n)
-	g.WaitMillis = int64(1000 * max((1-p.tokens)/rate, p.creditWait(h, share, scarce)))
+	g.WaitMillis = int64(1000 * max(p.wait(now), p.creditWait(h, share, scarce)))
 	return g
 }
 
+// wait returns the seconds until the pool has a token.
+func (p *pool) wait(now time.Time) float64 {
+	needed := max(0, (1-p.tokens)/p.limit.rate())
+	return needed + min(needed, max(0, p.settledAt.Sub(now).Seconds()/2))
+}
+
 // creditWait returns the seconds until a host has the credit for a token.
 func (p *pool) creditWait(h *asker, share float64, scarce bool) float64 {
 	if !scarce || share <= 0 {
