pkg/coordination/allotter: tokens of refused queries go back to the pool

What callers saw: where all servers of all shards have low limits, far fewer queries were served than the limits permit (8 hosts, limits from 0.5 and 2 a second: 9 of 43 and 106 of 173 possible). Cause: a query needs tokens of nearly all shards at one host. Hosts got single tokens ahead, and a query that lacked some was refused while its other tokens stayed at the host until they expired. Evidence: hosts on virtual time, ten shards of two servers, four times the demand; with tokens on demand alone 6 of 43 and 124 of 173. Change: tokens are allotted ahead only for a share of one and more within an ask's interval, otherwise for a request that waits; a refused request gives back the tokens that it had waited for. A request whose servers were not part of the ask that was answered waits again, 30 ms in all. Values of an ask are checked for sign. Conclusion: what is given back was never sent, so the bound of the pool holds.

--- a/pkg/coordination/allotter/allotter.go
+++ b/pkg/coordination/allotter/allotter.go
@@ -87,16 +87,14 @@
 	return &Allotter{pools: make(map[Incarnation]*pool)}
 }
 
-// Len returns the number of servers whose tokens were asked for recently.
-func (a *Allotter) Len() int {
-	return len(a.pools)
-}
-
 // Allot answers the asks of a host.
 func (a *Allotter) Allot(now time.Time, host string, asks []Ask) []Grant {
 	a.sweep(now)
 	grants := make([]Grant, 0, len(asks))
 	for _, ask := range asks {
+		// Another build of this program may send anything.
+		ask.Wanted, ask.Held, ask.Returned = max(ask.Wanted, 0), max(ask.Held, 0), max(ask.Returned, 0)
+		ask.AgeMillis = max(ask.AgeMillis, 0)
 		grants = append(grants, a.pool(now, ask).allot(now, host, ask))
 	}
 	return grants
@@ -134,7 +132,7 @@
 }
 
 func (p *pool) allot(now time.Time, host string, ask Ask) Grant {
-	g := Grant{Incarnation: ask.Incarnation, Limit: p.limit, AgeMillis: now.Sub(p.heardAt).Milliseconds()}
+	g := Grant{Incarnation: ask.Incarnation, Urgent: ask.Urgent, Limit: p.limit, AgeMillis: now.Sub(p.heardAt).Milliseconds()}
 	if !p.limit.Stated {
 		return g
 	}
@@ -149,8 +147,14 @@
 	if scarce {
 		share *= rate / total
 	}
-	h.credit = min(h.credit+share*since, max(1, share*creditTime.Seconds()))
-	need := math.Ceil(share*horizon.Seconds()) - float64(ask.Held)
+	returned := float64(ask.Returned)
+	p.tokens = min(p.tokens+returned, p.depth())
+	h.credit = min(h.credit+returned+share*since, max(1, share*creditTime.Seconds()))
+	need := math.Floor(share * horizon.Seconds())
+	if ask.Urgent {
+		need = max(need, 1)
+	}
+	need -= float64(ask.Held)
 	available := p.tokens
 	if scarce {
 		// What fills more than half of the pool is not used by the hosts to which it is due.
--- a/pkg/coordination/allotter/allotter_test.go
+++ b/pkg/coordination/allotter/allotter_test.go
@@ -192,6 +192,7 @@
 	due := start.Add(2*time.Second + settleTime/2 - AskInterval/2)
 	for now := start; ; now = now.Add(minAskInterval) {
 		l.Want(server)
+		l.Await(server)
 		l.Grant(now, a.Allot(now, "h1", l.Asks(now, true)))
 		if l.Allows(now, server, 0) {
 			is.True(!now.Before(due))
--- a/pkg/coordination/allotter/fleet_test.go
+++ b/pkg/coordination/allotter/fleet_test.go
@@ -122,6 +122,7 @@
 		l.Observe(f.now, server, f.limit)
 	case first && l.MayAsk(f.now, server):
 		f.waiting[host]++
+		l.Await(server)
 		f.ask(host, true)
 	}
 }
--- a/pkg/coordination/allotter/ledger.go
+++ b/pkg/coordination/allotter/ledger.go
@@ -30,6 +30,8 @@
 type batch struct {
 	tokens  int
 	expires time.Time
+	// urgent means that a request waited for the tokens.
+	urgent bool
 }
 
 // account is what a host knows of the limit of one server, and its tokens.
@@ -45,6 +47,10 @@
 	// wanted counts the requests for the server since askedAt.
 	wanted  int
 	askedAt time.Time
+	// urgent means that a request waits for a token.
+	urgent bool
+	// returning is the number of tokens to give back with the next ask.
+	returning int
 	// asking means that the answer to the last ask is outstanding.
 	asking bool
 	// batches holds the tokens, those that expire first in front.
@@ -162,11 +168,11 @@
 		usage = Usage{}
 	case Ended:
 		l.limited--
-		a.wanted, a.batches, a.unallottedSince = 0, nil, time.Time{}
+		a.wanted, a.returning, a.batches, a.unallottedSince = 0, 0, nil, time.Time{}
 	case Changed:
 		if limit.Rate < usage.Limit.Rate {
 			// What was gained under the greater limit is more than this one allows.
-			a.batches, a.unallotted = nil, 0
+			a.returning, a.batches, a.unallotted = 0, nil, 0
 		}
 	case Unchanged:
 	}
@@ -251,6 +257,29 @@
 	return a != nil && (a.outstanding(now) || now.Sub(a.askedAt) >= minAskInterval)
 }
 
+// Await records that a request waits for a token of a server.
+func (l *Ledger) Await(server Incarnation) {
+	a := l.limitedAccount(server)
+	if a != nil {
+		a.urgent = true
+	}
+}
+
+// Release gives back the tokens of a server for which a request has waited.
+func (l *Ledger) Release(now time.Time, server Incarnation) {
+	a := l.limitedAccount(server)
+	if a == nil {
+		return
+	}
+	l.tokens(now, a)
+	for i := range a.batches {
+		if a.batches[i].urgent {
+			a.returning += a.batches[i].tokens
+			a.batches[i].tokens = 0
+		}
+	}
+}
+
 // Wait returns the time until a server may get a request, 0 if it may get one now.
 func (l *Ledger) Wait(now time.Time, server Incarnation) time.Duration {
 	a := l.limitedAccount(server)
@@ -292,13 +321,14 @@
 			continue
 		}
 		reports := !a.limit.Stated && !a.unreadable
-		if (a.wanted == 0 && !reports) || a.outstanding(now) || now.Sub(a.askedAt) < interval {
+		due := (a.wanted > 0 || a.urgent || reports) && now.Sub(a.askedAt) >= interval
+		if a.outstanding(now) || (!due && a.returning == 0) {
 			continue
 		}
 		asks = append(asks, Ask{
-			Incarnation: a.incarnation, Limit: a.limit, AgeMillis: now.Sub(a.heardAt).Milliseconds(), Wanted: a.wanted, Held: l.tokens(now, a),
+			Incarnation: a.incarnation, Limit: a.limit, AgeMillis: now.Sub(a.heardAt).Milliseconds(), Wanted: a.wanted, Urgent: a.urgent, Returned: a.returning, Held: l.tokens(now, a),
 		})
-		a.wanted, a.askedAt, a.asking = 0, now, true
+		a.wanted, a.urgent, a.returning, a.askedAt, a.asking = 0, false, 0, now, true
 	}
 	slices.SortFunc(asks, func(a, b Ask) int { return compare(a.Incarnation, b.Incarnation) })
 	return asks
@@ -331,7 +361,7 @@
 		a.unallottedSince, a.unallotted, a.asking = time.Time{}, 0, false
 		a.nextTokenAt = now.Add(time.Duration(g.WaitMillis) * time.Millisecond)
 		if g.Tokens > 0 && a.limit.Stated {
-			a.batches = append(a.batches, batch{g.Tokens, now.Add(tokenLife)})
+			a.batches = append(a.batches, batch{g.Tokens, now.Add(tokenLife), g.Urgent})
 		}
 	}
 	return updates
--- a/pkg/coordination/allotter/limit.go
+++ b/pkg/coordination/allotter/limit.go
@@ -32,6 +32,11 @@
 	AgeMillis int64 `json:"ageMillis"`
 	// Wanted is the number of requests for the server since the last ask.
 	Wanted int `json:"wanted"`
+	// Urgent means that a request waits for a token.
+	Urgent bool `json:"urgent,omitempty"`
+	// Returned is the number of tokens that the host gives back, since the request that they
+	// were for could not be sent.
+	Returned int `json:"returned,omitempty"`
 	// Held is the number of tokens that the host has left.
 	Held int `json:"held"`
 }
@@ -40,8 +45,10 @@
 type Grant struct {
 	Incarnation
 
-	// Tokens is the number of requests that the host may send beyond those held.
-	Tokens int `json:"tokens"`
+	// Tokens is the number of requests that the host may send beyond those held; Urgent is
+	// that of the ask.
+	Tokens int  `json:"tokens"`
+	Urgent bool `json:"urgent,omitempty"`
 	// Limit is the newest limit that any host has told, AgeMillis ago.
 	Limit     Limit `json:"limit"`
 	AgeMillis int64 `json:"ageMillis"`
--- a/pkg/coordination/scatterer/limits.go
+++ b/pkg/coordination/scatterer/limits.go
@@ -71,9 +71,8 @@
 }
 
 // applyLimits replaces the servers of sub-requests outside the slice that have no token
-// left, and returns the number of sub-requests for which no server is left by that. With
-// count set, the demand for tokens is counted.
-func (m *Machine) applyLimits(now time.Time, r *request, choices []placer.Choice, planned *slice, count bool) int {
+// left, and returns the number of sub-requests for which no server is left by that.
+func (m *Machine) applyLimits(now time.Time, r *request, choices []placer.Choice, planned *slice) int {
 	if m.limits.Len() == 0 {
 		return 0
 	}
@@ -82,7 +81,7 @@
 		if choices[i].Server == nil || planned.contains(i) {
 			continue
 		}
-		choices[i] = m.chooseWithToken(now, r, &r.subRequests[i], choices[i], count)
+		choices[i] = m.chooseWithToken(now, r, &r.subRequests[i], choices[i])
 		if choices[i].Server == nil {
 			limited++
 		}
@@ -90,13 +89,14 @@
 	return limited
 }
 
-// chooseWithToken replaces a choice by the next best ones until one has a token.
-func (m *Machine) chooseWithToken(now time.Time, r *request, sub *subRequest, choice placer.Choice, count bool) placer.Choice {
+// chooseWithToken replaces a choice by the next best ones until one has a token. The demand
+// for tokens is counted, once for each request.
+func (m *Machine) chooseWithToken(now time.Time, r *request, sub *subRequest, choice placer.Choice) placer.Choice {
 	servers := m.directory.Servers(sub.service)
 	excluded := slices.Clone(sub.sentTo)
 	for choice.Server != nil {
 		server := incarnation(choice.Server)
-		if count {
+		if r.waitUntil.IsZero() {
 			m.limits.Want(server)
 		}
 		if m.limits.Allows(now, server, 0) {
@@ -147,6 +147,15 @@
 	}
 }
 
+// releaseTokens gives back the tokens for which a request has waited that is refused.
+func (m *Machine) releaseTokens(now time.Time, choices []placer.Choice) {
+	for _, choice := range choices {
+		if choice.Server != nil {
+			m.limits.Release(now, incarnation(choice.Server))
+		}
+	}
+}
+
 // noChoiceCode returns why a sub-request has no server.
 func (m *Machine) noChoiceCode(now time.Time, sub *subRequest) classifier.Code {
 	for _, server := range m.directory.Servers(sub.service) {
@@ -160,35 +169,40 @@
 // waitForTokens makes a request wait if an ask may bring tokens for one of its sub-requests
 // that have no server, and reports whether it waits.
 func (m *Machine) waitForTokens(now time.Time, r *request, e *Arrived, choices []placer.Choice) bool {
-	if !m.mayAsk(now, r, choices) {
+	if r.waitUntil.IsZero() {
+		r.waitUntil = earliest(now.Add(askWait), r.deadline)
+	}
+	if !now.Before(r.waitUntil) || !m.mayAsk(now, r, choices) {
 		return false
 	}
 	r.waiting = e
 	m.waiting++
-	m.timers.Set(&r.timer, earliest(now.Add(askWait), r.deadline))
+	m.timers.Set(&r.timer, r.waitUntil)
 	m.actions = append(m.actions, &AskTokens{Request: r.id})
 	return true
 }
 
+// mayAsk reports whether an ask may bring a token for a sub-request without a server, and
+// marks all servers of such sub-requests as awaited.
 func (m *Machine) mayAsk(now time.Time, r *request, choices []placer.Choice) bool {
+	may := false
 	for i, choice := range choices {
 		if choice.Server != nil {
 			continue
 		}
 		for _, server := range m.directory.Servers(r.subRequests[i].service) {
-			if m.limits.MayAsk(now, incarnation(server)) {
-				return true
-			}
+			m.limits.Await(incarnation(server))
+			may = may || m.limits.MayAsk(now, incarnation(server))
 		}
 	}
-	return false
+	return may
 }
 
 // resume begins a request that has waited for tokens.
 func (m *Machine) resume(now time.Time, r *request) {
 	e := r.waiting
 	m.stopWaiting(r)
-	m.begin(now, r, e, false)
+	m.begin(now, r, e)
 }
 
 func (m *Machine) stopWaiting(r *request) {
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -104,7 +104,9 @@
 	refusal classifier.Code
 	// waiting is set while the request waits for tokens, before its first attempt.
 	waiting *Arrived
-	arrived time.Time
+	// waitUntil is until when the request may wait for tokens, zero if it has not waited.
+	waitUntil time.Time
+	arrived   time.Time
 	// hedgeAt is when late sub-requests are hedged, zero once that is done.
 	hedgeAt time.Time
 	// earlyAnswerAt is from when an incomplete answer is sent if it reaches the coverage.
@@ -263,19 +265,18 @@
 func (m *Machine) handleArrived(now time.Time, e *Arrived) {
 	r := m.newRequest(now, e)
 	m.requests[r.id] = r
-	m.begin(now, r, e, true)
+	m.begin(now, r, e)
 }
 
-// begin sends the first attempts of a request or refuses it. With mayWait set, a request
-// for which an ask may bring tokens waits for that instead.
-func (m *Machine) begin(now time.Time, r *request, e *Arrived, mayWait bool) {
+// begin sends the first attempts of a request, makes it wait for tokens, or refuses it.
+func (m *Machine) begin(now time.Time, r *request, e *Arrived) {
 	choices := m.chooseAll(now, r)
 	var planned *slice
 	if !e.Slice && !late(r.expectedLatency(choices), r.earlyAnswerAt.Sub(now), m.cfg.SliceFactor) {
 		planned = m.planSlice(now, r, choices)
 	}
-	limited := m.applyLimits(now, r, choices, planned, mayWait)
-	if limited > 0 && mayWait && m.waitForTokens(now, r, e, choices) {
+	limited := m.applyLimits(now, r, choices, planned)
+	if limited > 0 && m.waitForTokens(now, r, e, choices) {
 		return
 	}
 	withServer, usable := 0, 0
@@ -303,6 +304,7 @@
 	switch {
 	case !r.meetsCoverage(withServer) && r.meetsCoverage(withServer+limited):
 		m.setMissingCodes(now, r, choices)
+		m.releaseTokens(now, choices)
 		m.refuse(now, r, classifier.LimitReached)
 		return
 	case !r.meetsCoverage(withServer), !r.meetsCoverage(usable) && !m.mayProbe(now, r):
