pkg/coordination/allotter: an ask that brought no token delays the next, no other does

What callers saw: since a second request within 100 ms was refused at a server that takes far more (1e6 a second): TestLimitsAreLogged. Cause: an ask without a waiting request brings no token at low demand since, and any ask forbade the next one for 100 ms. Change: only an ask on behalf of a request that waits, and that brought nothing, delays the next one; each server is asked for by its own state. Conclusion: at most one ask a token, or one in 100 ms.

--- a/pkg/coordination/allotter/allotter_test.go
+++ b/pkg/coordination/allotter/allotter_test.go
@@ -69,10 +69,10 @@
 	is.Equal(change, Ended)
 	is.Equal(first.Len(), 0)
 	is.True(first.Allows(now, server, 0))
-	is.Equal(len(first.Grant(now, a.Allot(now, "h1", first.Asks(now, false)))), 0)
+	is.Equal(len(first.Grant(now, a.Allot(now, "h1", first.Asks(now)))), 0)
 
 	second.Want(server)
-	updates := second.Grant(now, a.Allot(now, "h2", second.Asks(now, false)))
+	updates := second.Grant(now, a.Allot(now, "h2", second.Asks(now)))
 	is.Equal(len(updates), 1)
 	is.Equal(updates[0].Change, Ended)
 	is.Equal(second.Len(), 0)
@@ -80,8 +80,8 @@
 	// The limit comes back: the newer announcement counts.
 	now = now.Add(time.Second)
 	second.Observe(now, server, stated(7))
-	second.Grant(now, a.Allot(now, "h2", second.Asks(now, false)))
-	updates = first.Grant(now, a.Allot(now, "h1", first.Asks(now, false)))
+	second.Grant(now, a.Allot(now, "h2", second.Asks(now)))
+	updates = first.Grant(now, a.Allot(now, "h1", first.Asks(now)))
 	is.Equal(len(updates), 1)
 	is.Equal(updates[0].Limit, stated(7))
 	is.Equal(first.Len(), 1)
@@ -92,7 +92,7 @@
 	is := is.New(t)
 	a, l := New(), NewLedger(1)
 	l.Observe(start, server, stated(5))
-	grants := a.Allot(start, "h1", l.Asks(start, false))
+	grants := a.Allot(start, "h1", l.Asks(start))
 	now := start.Add(300 * time.Microsecond)
 	l.Observe(now, server, Limit{})
 	is.Equal(len(l.Grant(now.Add(300*time.Microsecond), grants)), 0)
@@ -109,7 +109,7 @@
 	is.Equal(g.Limit, stated(50))
 	l := NewLedger(2)
 	l.Observe(start.Add(-900*time.Millisecond), server, stated(5))
-	l.Asks(start, false)
+	l.Asks(start)
 	is.Equal(l.Grant(start, []Grant{g})[0].Change, Changed)
 }
 
@@ -165,7 +165,7 @@
 	for _, l := range []*Ledger{allotted, unallotted} {
 		l.Observe(start, server, stated(1000))
 	}
-	asks := unallotted.Asks(start, false)
+	asks := unallotted.Asks(start)
 	unallotted.Unanswered(start, asks)
 	allotted.Grant(start, []Grant{{Incarnation: server, Tokens: 9, Limit: stated(1000)}})
 	for _, l := range []*Ledger{allotted, unallotted} {
@@ -193,7 +193,7 @@
 	for now := start; ; now = now.Add(minAskInterval) {
 		l.Want(server)
 		l.Await(server)
-		l.Grant(now, a.Allot(now, "h1", l.Asks(now, true)))
+		l.Grant(now, a.Allot(now, "h1", l.Asks(now)))
 		if l.Allows(now, server, 0) {
 			is.True(!now.Before(due))
 			break
@@ -222,9 +222,9 @@
 	is := is.New(t)
 	l := NewLedger(1)
 	l.Observe(start, server, stated(1))
-	l.Asks(start.Add(accountLife), false)
+	l.Asks(start.Add(accountLife))
 	is.Equal(l.Len(), 1)
-	l.Asks(start.Add(accountLife+1), false)
+	l.Asks(start.Add(accountLife + 1))
 	is.Equal(l.Len(), 0)
 	is.Equal(len(l.accounts), 0)
 }
--- a/pkg/coordination/allotter/fleet_test.go
+++ b/pkg/coordination/allotter/fleet_test.go
@@ -91,7 +91,7 @@
 			f.request(f.pick(), true)
 		}
 		for i := int(f.now.UnixMilli()/fleetStep.Milliseconds()) % fleetTicks; i < len(f.ledgers); i += fleetTicks {
-			f.ask(i, false)
+			f.ask(i)
 		}
 	}
 }
@@ -123,12 +123,12 @@
 	case first && l.MayAsk(f.now, server):
 		f.waiting[host]++
 		l.Await(server)
-		f.ask(host, true)
+		f.ask(host)
 	}
 }
 
-func (f *fleet) ask(host int, urgent bool) {
-	asks := f.ledgers[host].Asks(f.now, urgent)
+func (f *fleet) ask(host int) {
+	asks := f.ledgers[host].Asks(f.now)
 	if len(asks) == 0 {
 		return
 	}
--- a/pkg/coordination/allotter/ledger.go
+++ b/pkg/coordination/allotter/ledger.go
@@ -9,7 +9,8 @@
 	// AskInterval is how often a host asks for tokens while it has requests for a server
 	// with a limit. It is short against the span of seconds over which servers count.
 	AskInterval = 300 * time.Millisecond
-	// minAskInterval is the least time between two asks for a request that found no token.
+	// minAskInterval is the least time from an ask on behalf of a request that waits, which
+	// brought no token, to the next one.
 	minAskInterval = 100 * time.Millisecond
 	// tokenLife is how long a token may be used; with the pool of an Allotter it bounds
 	// what a server can get in a span.
@@ -47,8 +48,10 @@
 	// wanted counts the requests for the server since askedAt.
 	wanted  int
 	askedAt time.Time
-	// urgent means that a request waits for a token.
-	urgent bool
+	// urgent means that a request waits for a token. An ask on behalf of such a request last
+	// brought none at deniedAt.
+	urgent   bool
+	deniedAt time.Time
 	// returning is the number of tokens to give back with the next ask.
 	returning int
 	// asking means that the answer to the last ask is outstanding.
@@ -156,6 +159,9 @@
 	usage := Usage{Limit: a.limit, Attempts: a.attempts, For: now.Sub(a.since)}
 	change := changeOf(a.limit, limit)
 	a.limit, a.heardAt, a.unreadable = limit, heardAt, false
+	if change != Unchanged {
+		a.deniedAt = time.Time{}
+	}
 	if change != Unchanged && !a.asking {
 		a.askedAt = time.Time{}
 	}
@@ -254,7 +260,7 @@
 // that has none.
 func (l *Ledger) MayAsk(now time.Time, server Incarnation) bool {
 	a := l.limitedAccount(server)
-	return a != nil && (a.outstanding(now) || now.Sub(a.askedAt) >= minAskInterval)
+	return a != nil && (a.outstanding(now) || a.mayAskUrgently(now))
 }
 
 // Await records that a request waits for a token of a server.
@@ -307,22 +313,30 @@
 	return now.Sub(a.heardAt) > life
 }
 
-// Asks returns the asks that are due, in the order of the servers. With urgent set, an ask
-// is due minAskInterval after the last one for the server, otherwise after AskInterval.
-func (l *Ledger) Asks(now time.Time, urgent bool) []Ask {
-	interval := AskInterval
-	if urgent {
-		interval = minAskInterval
+// mayAskUrgently reports whether an ask on behalf of a request that waits is allowed.
+func (a *account) mayAskUrgently(now time.Time) bool {
+	return now.Sub(a.deniedAt) >= minAskInterval
+}
+
+// due reports whether an ask is due: at once for requests that wait and for tokens to give
+// back, otherwise after AskInterval.
+func (a *account) due(now time.Time) bool {
+	if a.outstanding(now) {
+		return false
 	}
+	ended := !a.limit.Stated && !a.unreadable
+	return a.returning > 0 || (a.urgent && a.mayAskUrgently(now)) || ((a.wanted > 0 || ended) && now.Sub(a.askedAt) >= AskInterval)
+}
+
+// Asks returns the asks that are due, in the order of the servers.
+func (l *Ledger) Asks(now time.Time) []Ask {
 	var asks []Ask
 	for id, a := range l.accounts {
 		if a.expired(now) {
 			l.Forget(id)
 			continue
 		}
-		reports := !a.limit.Stated && !a.unreadable
-		due := (a.wanted > 0 || a.urgent || reports) && now.Sub(a.askedAt) >= interval
-		if a.outstanding(now) || (!due && a.returning == 0) {
+		if !a.due(now) {
 			continue
 		}
 		asks = append(asks, Ask{
@@ -360,6 +374,9 @@
 		}
 		a.unallottedSince, a.unallotted, a.asking = time.Time{}, 0, false
 		a.nextTokenAt = now.Add(time.Duration(g.WaitMillis) * time.Millisecond)
+		if g.Urgent && g.Tokens == 0 {
+			a.deniedAt = now
+		}
 		if g.Tokens > 0 && a.limit.Stated {
 			a.batches = append(a.batches, batch{g.Tokens, now.Add(tokenLife), g.Urgent})
 		}
--- a/pkg/coordination/scatterer/limits.go
+++ b/pkg/coordination/scatterer/limits.go
@@ -60,7 +60,7 @@
 
 // Asks returns the asks for tokens that are due, also those of requests that wait.
 func (m *Machine) Asks(now time.Time) []allotter.Ask {
-	return m.limits.Asks(now, m.waiting > 0)
+	return m.limits.Asks(now)
 }
 
 // Grant applies the answers to asks, and returns the limits that other hosts have told. A
--- a/pkg/coordination/scatterer/limits_test.go
+++ b/pkg/coordination/scatterer/limits_test.go
@@ -24,12 +24,21 @@
 func grantAll(m *Machine, now time.Time, tokens int) []Action {
 	var grants []allotter.Grant
 	for _, ask := range m.Asks(now) {
-		grants = append(grants, allotter.Grant{Incarnation: ask.Incarnation, Limit: ask.Limit, Tokens: tokens, WaitMillis: 700})
+		grants = append(grants, allotter.Grant{Incarnation: ask.Incarnation, Limit: ask.Limit, Tokens: tokens, Urgent: ask.Urgent, WaitMillis: 700})
 	}
 	m.Grant(now, grants, nil)
 	return clone(m.Step(now, &TokensAsked{}))
 }
 
+// arriveDenied has a request arrive, and an ask that it waits for bring nothing.
+func arriveDenied(m *Machine, now time.Time, request uint64, route *matcher.Route) []Action {
+	actions := arrive(m, now, request, route)
+	if len(of[*AskTokens](actions)) > 0 {
+		actions = append(actions, grantAll(m, now, 0)...)
+	}
+	return actions
+}
+
 // TestExcessOverALimitGoesToTheOtherReplica has one of two servers take two requests.
 func TestExcessOverALimitGoesToTheOtherReplica(t *testing.T) {
 	is := is.New(t)
@@ -60,7 +69,7 @@
 			}
 			is.Equal(len(of[*Refuse](arrive(m, start, 1, route))), 0)
 			is.Equal(len(of[*Refuse](arrive(m, start, 2, route))), 0) // at the other replicas
-			refusals := of[*Refuse](arrive(m, start, 3, route))
+			refusals := of[*Refuse](arriveDenied(m, start, 3, route))
 			is.Equal(len(refusals), 1)
 			is.Equal(refusals[0].Failure.Code, classifier.LimitReached)
 			is.True(refusals[0].Failure.Code.NotRun())
@@ -77,7 +86,7 @@
 	d := newDirectory("abcd", 2)
 	m := testMachine(d)
 	limitAll(m, start, d["c"], 10, 0)
-	sends := of[*Send](arrive(m, start, 1, sharded("abcd", 0.75)))
+	sends := of[*Send](arriveDenied(m, start, 1, sharded("abcd", 0.75)))
 	is.Equal(len(sends), 3)
 	var completes []*Complete
 	for _, send := range sends {
@@ -99,6 +108,7 @@
 	is.Equal(len(of[*AskTokens](arrive(m, now, 2, single(false, 1)))), 1)
 	now = now.Add(5 * time.Millisecond)
 	actions := grantAll(m, now, 1)
+	actions = append(actions, grantAll(m, now, 0)...)
 	is.Equal(of[*Send](actions)[0].Request, uint64(1)) // in the order of arrival
 	end(m, now, of[*Send](actions)[0], classifier.OK)
 	is.Equal(of[*Refuse](actions)[0].Request, uint64(2))
@@ -155,7 +165,7 @@
 			end(m, start, send, classifier.OK)
 		}
 	}
-	actions := arrive(m, start, 2, sharded("abcdefgh", 1))
+	actions := arriveDenied(m, start, 2, sharded("abcdefgh", 1))
 	is.Equal(len(of[*SendSlice](actions))+len(of[*Send](actions)), 0)
 	refusal := of[*Refuse](actions)[0]
 	is.Equal(refusal.Failure.Code, classifier.LimitReached)
@@ -176,7 +186,8 @@
 		is.Equal(len(of[*Send](clone(m.Step(start, slice)))), 4)
 	}
 	slice.Request = 2
-	is.Equal(len(of[*Refuse](clone(m.Step(start, slice)))), 1)
+	is.Equal(len(of[*AskTokens](clone(m.Step(start, slice)))), 1)
+	is.Equal(len(of[*Refuse](grantAll(m, start, 0))), 1)
 }
 
 // TestWeightsHoldBeyondALimit checks that the excess of one service of a route is not moved to
