--- a/internal/lab/starter/limits_test.go
+++ b/internal/lab/starter/limits_test.go
@@ -4,10 +4,8 @@
 	"context"
 	"flag"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -81,40 +79,17 @@
 }
 
 func newLimitSoak(t *testing.T, seed uint64) *limitSoak {
-	s := &limitSoak{
-		soak: &soak{
-			t: t, random: rand.New(rand.NewPCG(seed, seed)), store: standin.NewStore(), served: 0,
-			servers: make(map[string]*standin.Server), orderStatuses: make(map[string]int), addresses: make(map[string]string),
-		},
-		disturbed: make([][]time.Time, *limitHosts),
-	}
-	t.Cleanup(s.store.Close)
+	s := &limitSoak{soak: emptySoak(t, seed), disturbed: make([][]time.Time, *limitHosts)}
 	for _, id := range []string{"c1", "c2", "c3"} {
-		server, err := standin.NewServer(id, "c", "d1")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(server.Close)
-		s.servers[id], s.addresses[id] = server, server.Address()
-		s.register(server)
+		s.register(s.addServer(id, "c", "d1"))
 	}
 	s.store.Configure(1, soakHostname,
 		map[string]any{"name": "o", "path_prefix": "/o/", "kind": "non_idempotent", "service": "c"},
 		map[string]any{"name": "s", "path_prefix": "/s/", "kind": "idempotent", "service": "c"})
-	for i := range *limitHosts {
-		s.basePorts = append(s.basePorts, freeBlock(t))
-		s.settingsFiles = append(s.settingsFiles, filepath.Join(t.TempDir(), fmt.Sprint("host", i, ".jsonc")))
-		err := standin.HostSettings{
-			Name: fmt.Sprint("h", i), Domain: fmt.Sprint("d", 1+i%3), Port: s.basePorts[i], Seed: s.basePorts[0] + 2, Store: s.store.Address(), Burst: 50,
-		}.Write(s.settingsFiles[i])
-		if err != nil {
-			t.Fatal(err)
-		}
-		s.hosts = append(s.hosts, s.start(i))
-	}
-	for i := range s.hosts {
-		Eventually(t, "the host is ready", func() bool { return s.ready(i) })
+	for range *limitHosts {
+		s.addHost(s.store.Address())
 	}
+	s.waitReady()
 	return s
 }
 
@@ -128,36 +103,11 @@
 	defer requests.Wait()
 	for n := 0; ctx.Err() == nil; n++ {
 		<-ticker.C
-		requests.Go(func() { s.request(client, host, n) })
-	}
-}
-
-func (s *limitSoak) request(client *http.Client, host, n int) {
-	id := fmt.Sprintf("%d-%d", host, n)
-	path, method := "/s/", http.MethodGet
-	if n%4 == 0 {
-		path, method = "/o/", http.MethodPost
-	}
-	address := fmt.Sprintf("http://127.0.0.1:%d%s%s", s.basePorts[host], path, id)
-	r, err := http.NewRequestWithContext(context.Background(), method, address, io.NopCloser(strings.NewReader("x")))
-	if err != nil {
-		s.fail("%v", err)
-		return
-	}
-	r.ContentLength, r.Host = 1, soakHostname
-	r.Header.Set("X-Request-Id", id)
-	r.Header.Set("X-Deadline-Ms", "1000")
-	response, err := client.Do(r)
-	if err != nil {
-		return // the host is gone
-	}
-	answer, err := io.ReadAll(response.Body)
-	_ = response.Body.Close()
-	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") == "" {
-		s.fail("%s: refused without Retry-After: %s", id, answer)
-	}
-	if err == nil {
-		s.checkAnswer(id, path, response, answer)
+		path, method := "/s/", http.MethodGet
+		if n%4 == 0 {
+			path, method = "/o/", http.MethodPost
+		}
+		requests.Go(func() { s.request(client, host, method, path, fmt.Sprintf("%d-%d", host, n), "x") })
 	}
 }
 
--- a/internal/lab/starter/soak_test.go
+++ b/internal/lab/starter/soak_test.go
@@ -50,7 +50,9 @@
 	// each host to the store.
 	links []*proxy
 	// addresses holds the address of the link to each server, by server ID.
-	addresses     map[string]string
+	addresses map[string]string
+	// stores holds the address at which each host reaches the store.
+	stores        []string
 	settingsFiles []string
 	// basePorts holds the port for callers of each host; the next three ports are for
 	// readiness, control and metrics.
@@ -87,45 +89,68 @@
 	}
 }
 
-func newSoak(t *testing.T, seed uint64) *soak {
+// emptySoak returns a soak with a store, without servers and hosts.
+func emptySoak(t *testing.T, seed uint64) *soak {
 	s := &soak{
 		t: t, random: rand.New(rand.NewPCG(seed, seed)), store: standin.NewStore(),
 		servers: make(map[string]*standin.Server), orderStatuses: make(map[string]int),
 		addresses: make(map[string]string),
 	}
 	t.Cleanup(s.store.Close)
+	return s
+}
+
+// addServer starts a server without rows.
+func (s *soak) addServer(id, service, domain string) *standin.Server {
+	server, err := standin.NewServer(id, service, domain)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(server.Close)
+	s.servers[id], s.addresses[id] = server, server.Address()
+	return server
+}
+
+// addHost starts a host that reaches the store at an address.
+func (s *soak) addHost(store string) {
+	i := len(s.hosts)
+	s.stores = append(s.stores, store)
+	s.basePorts = append(s.basePorts, freeBlock(s.t))
+	s.settingsFiles = append(s.settingsFiles, filepath.Join(s.t.TempDir(), fmt.Sprint("host", i, ".jsonc")))
+	s.writeSettings(i, 50)
+	s.hosts = append(s.hosts, s.start(i))
+}
+
+func (s *soak) waitReady() {
+	for i := range s.hosts {
+		Eventually(s.t, "the host is ready", func() bool { return s.ready(i) })
+	}
+}
+
+func newSoak(t *testing.T, seed uint64) *soak {
+	s := emptySoak(t, seed)
 	for i, service := range []string{"a", "a", "b", "b", "c", "c", "c", "d", "e", "f"} {
 		id := fmt.Sprint(service, i)
 		domain := "d1"
 		if service > "c" {
 			domain = "d2"
 		}
-		server, err := standin.NewServer(id, service, domain)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(server.Close)
+		server := s.addServer(id, service, domain)
 		if service != "c" {
 			server.Rows = []uint64{uint64(i + 1), uint64(i + 10)}
 		}
-		s.servers[id] = server
 		link := newProxy(t, server.Address())
 		s.links = append(s.links, link)
 		s.addresses[id] = link.address()
 		s.register(server)
 	}
 	s.configure(1)
-	for i := range soakHosts {
-		s.links = append(s.links, newProxy(t, s.store.Address()))
-		port := freeBlock(t)
-		s.basePorts = append(s.basePorts, port)
-		s.settingsFiles = append(s.settingsFiles, filepath.Join(t.TempDir(), fmt.Sprint("host", i, ".jsonc")))
-		s.writeSettings(i, 50)
-		s.hosts = append(s.hosts, s.start(i))
-	}
-	for i := range s.hosts {
-		Eventually(t, "the host is ready", func() bool { return s.ready(i) })
+	for range soakHosts {
+		link := newProxy(t, s.store.Address())
+		s.links = append(s.links, link)
+		s.addHost(link.address())
 	}
+	s.waitReady()
 	return s
 }
 
@@ -167,7 +192,7 @@
 func (s *soak) writeSettings(i, burst int) {
 	err := standin.HostSettings{
 		Name: fmt.Sprint("h", i), Domain: fmt.Sprint("d", 1+i%2), Port: s.basePorts[i], Seed: s.basePorts[0] + 2,
-		Store: s.links[len(s.servers)+i].address(), Burst: burst,
+		Store: s.stores[i], Burst: burst,
 	}.Write(s.settingsFiles[i])
 	if err != nil {
 		s.t.Error(err)
@@ -272,30 +297,37 @@
 		if path == "/o/" {
 			method, body = http.MethodPost, "order "+id
 		}
-		address := fmt.Sprintf("http://127.0.0.1:%d%s%s", s.basePorts[(caller+n)%soakHosts], path, id)
-		// The body has no GetBody, so that the client can't retry an order by itself.
-		r, err := http.NewRequestWithContext(context.Background(), method, address, io.NopCloser(strings.NewReader(body)))
-		if err != nil {
-			s.fail("%v", err)
-			return
-		}
-		r.ContentLength = int64(len(body))
-		r.Host = soakHostname
-		r.Header.Set("X-Request-Id", id)
-		r.Header.Set("X-Deadline-Ms", "1000")
-		response, err := client.Do(r)
-		if err != nil {
+		if !s.request(client, (caller+n)%soakHosts, method, path, id, body) {
 			time.Sleep(10 * time.Millisecond)
-			continue
-		}
-		answer, err := io.ReadAll(response.Body)
-		_ = response.Body.Close()
-		if err == nil {
-			s.checkAnswer(id, path, response, answer)
 		}
 	}
 }
 
+// request sends a request to a host, checks the answer and reports whether there was one.
+func (s *soak) request(client *http.Client, host int, method, path, id, body string) bool {
+	address := fmt.Sprintf("http://127.0.0.1:%d%s%s", s.basePorts[host], path, id)
+	// The body has no GetBody, so that the client can't retry an order by itself.
+	r, err := http.NewRequestWithContext(context.Background(), method, address, io.NopCloser(strings.NewReader(body)))
+	if err != nil {
+		s.fail("%v", err)
+		return false
+	}
+	r.ContentLength = int64(len(body))
+	r.Host = soakHostname
+	r.Header.Set("X-Request-Id", id)
+	r.Header.Set("X-Deadline-Ms", "1000")
+	response, err := client.Do(r)
+	if err != nil {
+		return false
+	}
+	answer, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	if err == nil {
+		s.checkAnswer(id, path, response, answer)
+	}
+	return true
+}
+
 // checkAnswer records the status of an order. It checks that an answer with status 200
 // has a valid stamp and the body of the server that the stamp names.
 func (s *soak) checkAnswer(id, path string, response *http.Response, body []byte) {
@@ -307,6 +339,9 @@
 		s.served++
 	}
 	s.mu.Unlock()
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") == "" {
+		s.fail("%s: refused without Retry-After: %s", id, body)
+	}
 	if response.StatusCode != http.StatusOK {
 		return
 	}
