--- a/pkg/coordination/scatterer/slices.go
+++ b/pkg/coordination/scatterer/slices.go
@@ -26,9 +26,10 @@
 // The slice has the sub-requests whose chosen server is in that domain, and those whose
 // chosen server is in a third domain but that an available server of that domain can run
 // too. Servers with a limit are left out: this host must know whether they take the request
-// before it sends any part of it. The result is nil if the slice would have fewer than MinSliceSubRequests, or if the
-// request is not an idempotent query over shards. planSlice is not called under overload:
-// this host must then observe the queues of all servers itself to refuse requests in time.
+// before it sends any part of it. The result is nil if the slice would have fewer than
+// MinSliceSubRequests, or if the request is not an idempotent query over shards. planSlice
+// is not called under overload: this host must then observe the queues of all servers
+// itself to refuse requests in time.
 func (m *Machine) planSlice(now time.Time, r *request, choices []placer.Choice) *slice {
 	if m.cfg.MinSliceSubRequests == 0 || !r.sharded || !r.route.Idempotent {
 		return nil
