internal/lab/starter: blocks of ports are held until the test ends

Cause: test processes shared ports. A block counted as free if one port of it was; the hosts that use it start later. The soak took 300 blocks in turn, also that of the quickstart, whose ports are fixed. Evidence: the order ids of both soaks are the same; a host of the second one logged listenFailed, address already in use; 17600 is a block's first port. Change: the last port of a block stays open until the test ends; blocks leave out the ports of the quickstart. Result: TestBlocksOfPortsAreNotSharedByProcesses fails before and passes after.

--- a/internal/lab/starter/ports.go
+++ b/internal/lab/starter/ports.go
@@ -15,6 +15,9 @@
 	// firstPort and lastPort keep the blocks below the ephemeral ports of the system.
 	firstPort = 10_000
 	lastPort  = 32_000
+	// firstFixedPort and lastFixedPort bound the ports that the quickstart uses.
+	firstFixedPort = 17_000
+	lastFixedPort  = 18_000
 )
 
 var (
@@ -24,8 +27,8 @@
 	nextPort = firstPort + (os.Getpid()%50)*portBlock
 )
 
-// freeBlock returns the first port of an unused block. It takes a block as unused if its
-// second port is free, which is the first that package layouter allocates.
+// freeBlock returns the first port of an unused block. It keeps the last port of the block
+// open until the test ends, so that no other process takes the block.
 func freeBlock(t testing.TB) int {
 	t.Helper()
 	portMu.Lock()
@@ -36,10 +39,13 @@
 		if nextPort+portBlock > lastPort {
 			nextPort = firstPort
 		}
+		if port+portBlock > firstFixedPort && port < lastFixedPort {
+			continue
+		}
 		var sockets net.ListenConfig
-		socket, err := sockets.Listen(context.Background(), "tcp", fmt.Sprintf("127.0.0.1:%d", port+1))
+		socket, err := sockets.Listen(context.Background(), "tcp", fmt.Sprintf("127.0.0.1:%d", port+portBlock-1))
 		if err == nil {
-			_ = socket.Close()
+			t.Cleanup(func() { _ = socket.Close() })
 			return port
 		}
 	}
