_scripts: a quickstart that fails ends its processes

Cause: the ERR trap isn't inherited by functions without errtrace. Change: set -E. Conclusion: not a fault of the hosts.

--- a/_scripts/quickstart.sh
+++ b/_scripts/quickstart.sh
@@ -3,7 +3,7 @@
 # domains as processes on loopback, sends a load, prints its summary and stops
 # all processes. With --keep it leaves them running. With --site it starts the
 # platform's store, backend servers and six hosts as a prepared platform has them.
-set -euo pipefail
+set -Eeuo pipefail
 cd "$(dirname "$0")/.."
 
 keep=false
