pkg/coordination/detector: which failure domains this host reaches, in logs and metrics

The logs couldn't tell a host that doesn't know of its cut from one that knows and has no other way, nor a refused connection of an ended server from one of a cut. No decision uses it yet.

--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/detector"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
 )
@@ -224,7 +225,11 @@
 func (c *client) exchange(ctx context.Context, call Call, out outbound, server *lister.Server, deadline time.Time) *Answer {
 	var conn atomic.Pointer[countedConn]
 	var writtenBefore atomic.Int64
+	evidence := detector.Response
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if !info.Reused {
+			evidence = detector.Connection
+		}
 		counted, ok := info.Conn.(*countedConn)
 		if ok {
 			writtenBefore.Store(counted.written.Load())
@@ -237,17 +242,21 @@
 	if err != nil {
 		held := conn.Load()
 		sent := held != nil && held.written.Load() > writtenBefore.Load()
-		return &Answer{Code: failureCode(ctx, sent), Err: err}
+		a := &Answer{Code: failureCode(ctx, sent), Err: err}
+		if NeverConnected(err) {
+			a.Evidence = detector.NoConnection
+		}
+		return a
 	}
-	a := &Answer{Status: response.StatusCode, Header: response.Header}
+	a := &Answer{Status: response.StatusCode, Header: response.Header, Evidence: evidence}
 	a.Body, err = c.bodies.read(response.Body, response.ContentLength, maxBodyBytes)
 	// If part of the body is unread, this also closes the connection.
 	_ = response.Body.Close()
 	switch {
 	case errors.Is(err, errBodyTooLarge) || errors.Is(err, errBodyBudgetExhausted):
-		return &Answer{Code: classifier.ResponseTooLarge, Err: err}
+		return &Answer{Code: classifier.ResponseTooLarge, Err: err, Evidence: evidence}
 	case err != nil:
-		return &Answer{Code: failureCode(ctx, true), Err: err}
+		return &Answer{Code: failureCode(ctx, true), Err: err, Evidence: evidence}
 	}
 	c.dialect.Classify(call, a)
 	if a.Code == classifier.EchoMismatch && conn.Load() != nil {
--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/detector"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
@@ -25,6 +26,7 @@
 	draining    *metrics.Counter
 	pauses      *metrics.Counter
 	limited     *metrics.Gauge
+	unreachable *metrics.Gauge
 }
 
 func newCounters() *counters {
@@ -42,6 +44,7 @@
 		draining:    set.NewCounter("rhubarbpost_servers_announced_leaving_total"),
 		pauses:      set.NewCounter("rhubarbpost_server_pauses_total"),
 		limited:     set.NewGauge("rhubarbpost_servers_limited", nil),
+		unreachable: set.NewGauge("rhubarbpost_domains_unreachable", nil),
 	}
 }
 
@@ -132,6 +135,19 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_token_asks_total{ok=\"%t\"}", err == nil)).Inc()
 }
 
+// pathProbed records the result of a probe of the path to a failure domain.
+func (c *counters) pathProbed(result detector.ProbeResult) {
+	name := "silent"
+	switch result {
+	case detector.Connected:
+		name = "connected"
+	case detector.Refused:
+		name = "refused"
+	case detector.Silent:
+	}
+	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_path_probes_total{result=%q}", name)).Inc()
+}
+
 func (c *counters) delegated(err error) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_queries_handed_over_total{ok=\"%t\"}", err == nil)).Inc()
 }
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -301,6 +301,9 @@
 		e.markDraining(item.id, item.startedAtMillis, item.host)
 	case tokensAnswered, limitNotice, hostCount:
 		e.stepLimits(now, item)
+	case pathProbed:
+		e.metrics.pathProbed(item.result)
+		e.act(e.machine.Step(now, &scatterer.ProbeEnded{Domain: item.domain, Result: item.result}))
 	case delegationEnd:
 		e.assessor.RequestEnded(now, item.served)
 	case policyChange:
@@ -331,7 +334,7 @@
 	}
 	return &scatterer.AttemptEnded{
 		Attempt: item.attempt, Code: a.Code, FinalResponse: a.FinalResponse,
-		ConnectionRefused: errors.Is(a.Err, syscall.ECONNREFUSED), Exhausted: a.Exhausted, Unacknowledged: a.Unacknowledged, Load: a.Load,
+		ConnectionRefused: errors.Is(a.Err, syscall.ECONNREFUSED), Exhausted: a.Exhausted, Unacknowledged: a.Unacknowledged, Evidence: a.Evidence, Load: a.Load,
 	}
 }
 
@@ -387,6 +390,10 @@
 			e.sendSlice(a)
 		case *scatterer.AskTokens:
 			e.askForTokens(time.Now())
+		case *scatterer.ProbePath:
+			e.probePath(a)
+		case *scatterer.ReachChanged:
+			e.reachChanged(a)
 		case *scatterer.Cancel:
 			s, ok := e.outstanding[a.Attempt]
 			if ok {
--- a/internal/forwarder/policy.go
+++ b/internal/forwarder/policy.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/detector"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/placer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/decoder"
@@ -68,6 +69,9 @@
 	// DomainSilence is how long attempts at the servers of a failure domain must have
 	// stayed unanswered until the domain is taken to be unreachable.
 	DomainSilence *decoder.Duration `json:"domainSilence"`
+	// PathDoubt is how long attempts at the servers of a failure domain may stay unanswered
+	// until the path to it is probed; 0 turns off what depends on these probes.
+	PathDoubt *decoder.Duration `json:"pathDoubt"`
 	// PauseMemory is how long after a pause (Retry-After) a server without a free slot
 	// is avoided if another server is available, as it may reject requests.
 	PauseMemory *decoder.Duration `json:"pauseMemory"`
@@ -91,8 +95,11 @@
 // scatterer returns the settings of the scatterer.
 func (s Settings) scatterer() scatterer.Config {
 	p := s.Policy
+	reach := detector.DefaultConfig()
+	reach.DoubtAfter = durationOr(p.PathDoubt, reach.DoubtAfter)
 	return scatterer.Config{
 		Placer:              p.placer(s.Domain),
+		Detector:            reach,
 		AnswerMargin:        answerMargin,
 		SubRequestMargin:    subRequestMargin,
 		HedgeFraction:       valueOr(p.HedgeFraction, defaultHedgeFraction),
@@ -143,5 +150,6 @@
 	duration(p.ReportLife, "reportLife")
 	duration(p.SuspectAfter, "suspectAfter")
 	duration(p.DomainSilence, "domainSilence")
+	duration(p.PathDoubt, "pathDoubt")
 	duration(p.PauseMemory, "pauseMemory")
 }
--- /dev/null
+++ b/internal/forwarder/reach.go
@@ -0,0 +1,72 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/detector"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
+)
+
+// pathProbed reports the result of a probe of a failure domain.
+type pathProbed struct {
+	domain string
+	result detector.ProbeResult
+}
+
+func (pathProbed) engineEvent() {}
+
+// probePath opens and closes connections to the servers of a probe.
+func (e *engine) probePath(a *scatterer.ProbePath) {
+	addresses := make([]string, len(a.Servers))
+	for i, server := range a.Servers {
+		addresses[i] = server.Address
+	}
+	e.exchanges.Go(func() {
+		e.push(pathProbed{domain: a.Domain, result: probeServers(e.ctx, addresses)})
+	})
+}
+
+// probeServers opens and closes connections to some addresses. It returns as soon as one
+// accepts.
+func probeServers(ctx context.Context, addresses []string) detector.ProbeResult {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var connected, silent atomic.Bool
+	var dials sync.WaitGroup
+	for _, address := range addresses {
+		dials.Go(func() {
+			err := dialProbe(ctx, address)
+			switch {
+			case err == nil:
+				connected.Store(true)
+				cancel()
+			case !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET):
+				silent.Store(true)
+			}
+		})
+	}
+	dials.Wait()
+	switch {
+	case connected.Load():
+		return detector.Connected
+	case silent.Load():
+		return detector.Silent
+	}
+	return detector.Refused
+}
+
+// reachChanged records that a failure domain can no longer be reached, or can be again.
+func (e *engine) reachChanged(a *scatterer.ReachChanged) {
+	e.metrics.unreachable.Set(float64(e.machine.UnreachableDomains()))
+	if a.Reachable {
+		e.log.Warn(logger.ServersRegained, "domain", a.Domain, "lostMillis", a.For.Milliseconds(), "isolated", e.machine.Isolated())
+		return
+	}
+	e.log.Warn(logger.ServersLost, "domain", a.Domain, "respondedMillisAgo", a.For.Milliseconds(), "newRefused", a.NewRefused,
+		"isolated", e.machine.Isolated(), "inFlight", e.machine.Len())
+}
--- a/internal/forwarder/types.go
+++ b/internal/forwarder/types.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/allotter"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/detector"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/placer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
@@ -47,6 +48,8 @@
 	Body     []byte
 	// Err is the reason for a missing answer.
 	Err error
+	// Evidence is what the exchange tells about the path to the server.
+	Evidence detector.Evidence
 	// Exhausted is true if a gathering host may have used all attempts of the
 	// sub-request. Unacknowledged is true if that host did not confirm the receipt;
 	// it may then have used one attempt.
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -72,6 +72,8 @@
 	SettingsReloaded     Event = 540
 	SettingsRejected     Event = 541
 	TokensMissed         Event = 542
+	ServersLost          Event = 543
+	ServersRegained      Event = 544
 	LinesDropped         Event = 550
 	LibraryLogged        Event = 551
 )
@@ -135,6 +137,8 @@
 	{SettingsReloaded, "settingsReloaded", "The settings file has changed and is in force."},
 	{SettingsRejected, "settingsRejected", "The changed settings file is invalid; the previous settings stay in force."},
 	{TokensMissed, "tokensMissed", "No host has answered an ask for a share of the limits of backend servers; this host uses a part of its equal share."},
+	{ServersLost, "serversLost", "No backend server of a failure domain accepts a connection from this host or has answered it lately; isolated if that holds for all failure domains."},
+	{ServersRegained, "serversRegained", "Backend servers of the failure domain can be reached again."},
 	{LinesDropped, "linesDropped", "Log lines were dropped to limit the log volume."},
 	{LibraryLogged, "libraryNoted", "A library wrote a log line, such as net/http about a connection with bytes that belong to no request."},
 }
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/allotter"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/detector"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/limiter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/placer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
@@ -138,6 +139,7 @@
 	cfg       Config
 	directory Directory
 	placer    *placer.Placer
+	detector  *detector.Detector
 	limits    *allotter.Ledger
 	// waiting is the number of requests that wait for tokens.
 	waiting int
@@ -162,6 +164,7 @@
 		cfg:       cfg,
 		directory: directory,
 		placer:    placer.New(cfg.Placer),
+		detector:  detector.New(cfg.Detector, directory),
 		limits:    allotter.NewLedger(cfg.Hosts),
 		requests:  make(map[uint64]*request),
 		attempts:  make(map[uint64]*attempt),
@@ -200,6 +203,7 @@
 // Forget drops the observations of a server that is no longer listed.
 func (m *Machine) Forget(now time.Time, id string) {
 	m.placer.Forget(now, id)
+	m.detector.Forget(id)
 }
 
 // DomainUnreachable reports whether any other failure domain has left attempts unanswered
@@ -225,7 +229,12 @@
 
 // NextTimer returns when the machine needs a TimerFired event, or false if it needs none.
 func (m *Machine) NextTimer() (time.Time, bool) {
-	return m.timers.Next()
+	at, ok := m.timers.Next()
+	probeAt, probe := m.detector.NextTimer()
+	if probe && (!ok || probeAt.Before(at)) {
+		return probeAt, true
+	}
+	return at, ok
 }
 
 // Step applies an event and returns the resulting actions, which are valid until the
@@ -256,8 +265,12 @@
 		if r != nil {
 			m.discard(now, r)
 		}
+	case *ProbeEnded:
+		change, changed := m.detector.ProbeEnded(now, e.Domain, e.Result)
+		m.reachChanged(change, changed)
 	case *TimerFired:
 		m.handleTimerFired(now)
+		m.probePaths(now)
 	}
 	return m.actions
 }
@@ -524,6 +537,7 @@
 	a := m.addAttempt(now, r, i, choice.Server)
 	sub.sentTo = append(sub.sentTo, choice.Server.ID)
 	m.placer.Sent(now, choice.Server)
+	m.detector.Sent(now, choice.Server)
 	m.actions = append(m.actions, &Send{
 		Request: r.id, Attempt: a.id, SubRequest: i, Server: choice.Server, Limited: m.limits.Sent(now, incarnation(choice.Server)), Reason: reason,
 		Expected: r.stats.expectedLatency(choice), Deadline: r.deadline,
@@ -539,7 +553,7 @@
 	}
 	r := a.request
 	sub := &r.subRequests[a.subRequest]
-	m.removeAttempt(now, a, placer.Result{Outcome: outcomeOf(e), Load: e.Load})
+	m.removeAttempt(now, a, placer.Result{Outcome: outcomeOf(e), Load: e.Load}, e.Evidence)
 	if e.Code == classifier.ServerUnreachable || e.Code == classifier.NotSent || e.Unacknowledged {
 		sub.possibleArrivals--
 	}
@@ -585,8 +599,8 @@
 	}
 }
 
-// removeAttempt removes an attempt and reports its result to the placer.
-func (m *Machine) removeAttempt(now time.Time, a *attempt, result placer.Result) {
+// removeAttempt removes an attempt and reports its result to the placer and the detector.
+func (m *Machine) removeAttempt(now time.Time, a *attempt, result placer.Result, evidence detector.Evidence) {
 	delete(m.attempts, a.id)
 	sub := &a.request.subRequests[a.subRequest]
 	for i, other := range sub.outstanding {
@@ -600,6 +614,7 @@
 	}
 	result.Latency, result.TypicalLatency = now.Sub(a.sent), time.Duration(a.request.stats.typicalLatency)
 	m.placer.Ended(now, a.server.ID, a.sent, result)
+	m.reachChanged(m.detector.Ended(now, a.server, evidence))
 }
 
 // acceptAnswer finishes a sub-request with the answer of an attempt and cancels the
@@ -626,7 +641,7 @@
 		if float64(now.Sub(a.sent)) > 2*r.stats.typicalLatency {
 			outcome = placer.TimedOut
 		}
-		m.removeAttempt(now, a, placer.Result{Outcome: outcome})
+		m.removeAttempt(now, a, placer.Result{Outcome: outcome}, detector.None)
 		m.actions = append(m.actions, &Cancel{Attempt: a.id})
 	}
 }
--- a/pkg/coordination/scatterer/scatterer_test.go
+++ b/pkg/coordination/scatterer/scatterer_test.go
@@ -30,6 +30,28 @@
 
 func (d directory) Servers(service string) []*lister.Server { return d[service] }
 
+func (d directory) InDomain(domain string) []*lister.Server {
+	var servers []*lister.Server
+	for _, service := range slices.Sorted(maps.Keys(d)) {
+		for _, server := range d[service] {
+			if server.Domain == domain {
+				servers = append(servers, server)
+			}
+		}
+	}
+	return servers
+}
+
+func (d directory) Domains() []string {
+	domains := make(map[string]bool)
+	for _, servers := range d {
+		for _, server := range servers {
+			domains[server.Domain] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(domains))
+}
+
 // newDirectory returns services named by letters, each with the same number of servers.
 func newDirectory(services string, servers int) directory {
 	d := make(directory)
--- a/pkg/coordination/scatterer/types.go
+++ b/pkg/coordination/scatterer/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/detector"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/placer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
@@ -12,6 +13,9 @@
 // Config holds the settings of a scatterer.
 type Config struct {
 	Placer placer.Config
+	// Detector holds the settings by which the failure domains that can't be reached are
+	// detected.
+	Detector detector.Config
 	// AnswerMargin is how long before the latency objective of a route an incomplete
 	// answer is sent, to allow for its transfer to the caller.
 	AnswerMargin time.Duration
@@ -47,8 +51,10 @@
 	Window time.Duration
 }
 
-// Directory lists the backend servers of a service that accept new requests.
+// Directory lists the backend servers that accept new requests, by service and by failure
+// domain.
 type Directory interface {
+	detector.Directory
 	Servers(service string) []*lister.Server
 }
 
@@ -95,10 +101,18 @@
 	// Unacknowledged means that another host has not acknowledged the sub-request: most
 	// likely it has sent it to no server, and it has sent it to one at most.
 	Unacknowledged bool
+	// Evidence is what the end tells about the path to the server.
+	Evidence detector.Evidence
 	// Load is the server's report of its load, nil without one.
 	Load *placer.Load
 }
 
+// ProbeEnded reports the result of a probe of a failure domain.
+type ProbeEnded struct {
+	Domain string
+	Result detector.ProbeResult
+}
+
 // SliceEnded reports the end of all attempts of a slice together. The rows of its
 // sub-requests arrive merged, so an answer contains all of them or none.
 type SliceEnded struct {
@@ -123,6 +137,7 @@
 func (*Abandoned) scattererEvent()    {}
 func (*TokensAsked) scattererEvent()  {}
 func (*TimerFired) scattererEvent()   {}
+func (*ProbeEnded) scattererEvent()   {}
 
 // Reason is why an attempt is sent.
 type Reason string
@@ -171,6 +186,17 @@
 	Request uint64
 }
 
+// ProbePath opens and closes a connection to each of some servers; a ProbeEnded event is to
+// follow.
+type ProbePath struct {
+	detector.Probe
+}
+
+// ReachChanged means that a failure domain can no longer be reached, or can be again.
+type ReachChanged struct {
+	detector.Change
+}
+
 // Cancel cancels an attempt whose answer is no longer needed.
 type Cancel struct {
 	Attempt uint64
@@ -210,9 +236,11 @@
 	Took time.Duration
 }
 
-func (*SendSlice) scattererAction() {}
-func (*AskTokens) scattererAction() {}
-func (*Send) scattererAction()      {}
-func (*Cancel) scattererAction()    {}
-func (*Complete) scattererAction()  {}
-func (*Refuse) scattererAction()    {}
+func (*SendSlice) scattererAction()    {}
+func (*AskTokens) scattererAction()    {}
+func (*Send) scattererAction()         {}
+func (*ProbePath) scattererAction()    {}
+func (*ReachChanged) scattererAction() {}
+func (*Cancel) scattererAction()       {}
+func (*Complete) scattererAction()     {}
+func (*Refuse) scattererAction()       {}
--- a/pkg/state/lister/lister.go
+++ b/pkg/state/lister/lister.go
@@ -1,6 +1,7 @@
 package lister
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -85,6 +86,8 @@
 	records map[string]*record
 	// services holds the servers of each service that may get new requests, sorted by ID.
 	services map[string][]*Server
+	// domains holds the same servers by failure domain, also sorted by ID.
+	domains map[string][]*Server
 	// lapseUntil is the time until which a removal counts as a lapse caused by an outage.
 	lapseUntil time.Time
 }
@@ -233,21 +236,28 @@
 	return changed
 }
 
-// rebuild computes the servers of each service that may get new requests.
+// rebuild computes the servers of each service and failure domain that may get new requests.
 func (l *Lister) rebuild(changed bool) {
 	if !changed {
 		return
 	}
 	services := make(map[string][]*Server, len(l.services))
+	domains := make(map[string][]*Server, len(l.domains))
 	for _, r := range l.records {
 		if r.usable() {
 			services[r.server.Service] = append(services[r.server.Service], r.server)
+			domains[r.server.Domain] = append(domains[r.server.Domain], r.server)
 		}
 	}
-	for _, servers := range services {
+	sortByID(services)
+	sortByID(domains)
+	l.services, l.domains = services, domains
+}
+
+func sortByID(groups map[string][]*Server) {
+	for _, servers := range groups {
 		slices.SortFunc(servers, func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
 	}
-	l.services = services
 }
 
 // Servers returns the servers of a service that may get new requests, in the order of their IDs.
@@ -255,6 +265,17 @@
 	return l.services[service]
 }
 
+// InDomain returns the servers of a failure domain that may get new requests, in the order
+// of their IDs.
+func (l *Lister) InDomain(domain string) []*Server {
+	return l.domains[domain]
+}
+
+// Domains returns the failure domains that have such servers, in alphabetical order.
+func (l *Lister) Domains() []string {
+	return slices.Sorted(maps.Keys(l.domains))
+}
+
 // UsableCount returns the number of servers that may get new requests.
 func (l *Lister) UsableCount() int {
 	n := 0
