--- a/cmd/lab/cmds/cmds.go
+++ b/cmd/lab/cmds/cmds.go
@@ -98,7 +98,18 @@
 	sub.Int(&cfg.HostsPerDomain, "n", "hosts", "Hosts in each of three failure domains")
 	sub.Int(&cfg.Shards, "s", "shards", "Shards of the query service")
 	sub.String(&cfg.Limit, "l", "limit", "Requests a second that each backend server announces as its limit (default: none)")
+	cut := ""
+	cfg.CutAfter, cfg.CutFor = 5*time.Second, 5*time.Second
+	sub.String(&cut, "c", "cut", "How hosts are cut off from all backend servers: silent, reset or refuse (default: not)")
+	sub.Int(&cfg.CutHosts, "", "cutHosts", "Number of hosts that are cut off")
+	sub.Duration(&cfg.CutAfter, "", "cutAfter", "Time from the start until they are cut off")
+	sub.Duration(&cfg.CutFor, "", "cutFor", "Time for which they are cut off")
 	return command{sub: sub, run: func() error {
+		var err error
+		cfg.Cut, err = standin.ParseCut(cut)
+		if err != nil {
+			return err
+		}
 		site, err := standin.StartSite(cfg)
 		if err != nil {
 			return err
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -89,6 +89,8 @@
 	// received holds the requests that were read, also those rejected.
 	received []Receipt
 	conns    map[net.Conn]bool
+	// links holds the path from each host that has one, by the name of the host.
+	links    map[string]*link
 	opened   atomic.Int64
 	rejected atomic.Int64
 	// restarts counts the incarnations after the first.
@@ -105,7 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ID: id, Service: service, Domain: domain, socket: socket, conns: make(map[net.Conn]bool), slots: make(chan struct{}, serverSlots)}
+	s := &Server{ID: id, Service: service, Domain: domain, socket: socket, conns: make(map[net.Conn]bool), links: make(map[string]*link), slots: make(chan struct{}, serverSlots)}
 	s.workers.Go(s.accept)
 	return s, nil
 }
@@ -183,6 +185,9 @@
 	for conn := range s.conns {
 		_ = conn.Close()
 	}
+	for _, l := range s.links {
+		l.close()
+	}
 	s.mu.Unlock()
 	s.workers.Wait()
 }
--- a/internal/lab/standin/site.go
+++ b/internal/lab/standin/site.go
@@ -4,12 +4,14 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"log"
 	"maps"
 	"net"
 	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
+	"time"
 )
 
 const (
@@ -44,12 +46,22 @@
 	Shards         int
 	// Limit is the Server-Limit header of all servers, in requests per second; empty for none.
 	Limit string
+	// CutHosts is the number of hosts whose paths to all servers are interrupted, those of
+	// the first failure domain first.
+	CutHosts int
+	// Cut is how the paths are interrupted, CutAfter and CutFor when and for how long.
+	Cut      Cut
+	CutAfter time.Duration
+	CutFor   time.Duration
 }
 
 // Site is a store with a configuration, and the backend servers of its routes.
 type Site struct {
 	store   *Store
 	servers []*Server
+	// stop ends the goroutine that interrupts paths, done is closed when it has ended.
+	stop chan struct{}
+	done chan struct{}
 }
 
 // SiteFile is the content of site.json, with which callers find the hosts of a site and
@@ -68,15 +80,59 @@
 
 // StartSite starts the store and the servers and writes the settings of the hosts and site.json.
 func StartSite(cfg SiteConfig) (*Site, error) {
-	s := &Site{store: NewStore()}
+	s := &Site{store: NewStore(), stop: make(chan struct{}), done: make(chan struct{})}
 	err := s.build(cfg)
 	if err != nil {
+		close(s.done)
 		s.Close()
 		return nil, err
 	}
+	go s.cutPaths(cfg)
 	return s, nil
 }
 
+// cutPaths interrupts the paths of some hosts at the time that the settings name.
+func (s *Site) cutPaths(cfg SiteConfig) {
+	defer close(s.done)
+	hosts := cfg.hostNames()
+	for _, step := range []struct {
+		after time.Duration
+		cut   Cut
+	}{{cfg.CutAfter, cfg.Cut}, {cfg.CutFor, CutNone}} {
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(step.after):
+		}
+		for _, host := range hosts[:min(cfg.CutHosts, len(hosts))] {
+			s.setCut(host, step.cut)
+		}
+	}
+}
+
+// setCut interrupts or restores the paths of a host to all servers.
+func (s *Site) setCut(host string, cut Cut) {
+	for _, server := range s.servers {
+		err := server.SetCut(host, cut)
+		if err != nil {
+			log.Printf("path of %s: %v", host, err)
+		}
+	}
+}
+
+// hostNames returns the names of the hosts, those of the first failure domain first.
+func (c SiteConfig) hostNames() []string {
+	var names []string
+	for domain := range c.Domains {
+		for i := range c.HostsPerDomain {
+			names = append(names, hostName(i*len(c.Domains)+domain))
+		}
+	}
+	return names
+}
+
+func hostName(i int) string { return fmt.Sprint("host", i) }
+
 func (s *Site) build(cfg SiteConfig) error {
 	file := SiteFile{Host: siteHostname}
 	shards := make([]string, cfg.Shards)
@@ -111,6 +167,8 @@
 
 // Close stops the servers and the store.
 func (s *Site) Close() {
+	close(s.stop)
+	<-s.done
 	for _, server := range s.servers {
 		server.Close()
 	}
@@ -143,6 +201,24 @@
 	s.Put("config", "main", map[string]any{"version": version, "services": []any{}, "routes": routes})
 }
 
+// LinkAll gives a host a path of its own to each server, and returns the address of the
+// view of the store that names these paths.
+func LinkAll(store *Store, host string, servers []*Server) (string, error) {
+	links := make(map[string]string)
+	for _, server := range servers {
+		address, err := server.LinkTo(host)
+		if err != nil {
+			return "", err
+		}
+		links[server.ID] = address
+	}
+	return store.View(func(server string, registration map[string]any) {
+		if links[server] != "" {
+			registration["address"] = links[server]
+		}
+	})
+}
+
 // HostSettings holds the settings in which the hosts of a site on loopback differ.
 type HostSettings struct {
 	Name   string
@@ -175,12 +251,16 @@
 
 func (s *Site) writeSettings(cfg SiteConfig, file *SiteFile) error {
 	for i := range cfg.HostsPerDomain * len(cfg.Domains) {
+		store, err := LinkAll(s.store, hostName(i), s.servers)
+		if err != nil {
+			return err
+		}
 		h := HostSettings{
-			Name: fmt.Sprint("host", i), Domain: cfg.Domains[i%len(cfg.Domains)], Port: cfg.BasePort + i*portsPerHost,
-			Seed: cfg.BasePort + 2, Store: s.store.Address(), Burst: siteBurst,
+			Name: hostName(i), Domain: cfg.Domains[i%len(cfg.Domains)], Port: cfg.BasePort + i*portsPerHost,
+			Seed: cfg.BasePort + 2, Store: store, Burst: siteBurst,
 		}
 		path := filepath.Join(cfg.Dir, h.Name+".host.jsonc")
-		err := h.Write(path)
+		err = h.Write(path)
 		if err != nil {
 			return err
 		}
