--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -63,6 +63,9 @@
 	// are open now, in use or idle.
 	connsOpened *atomic.Uint64
 	connsOpen   *atomic.Int64
+	dials       *dialRegistry
+	// translate has the IP addresses of servers that are reached at other addresses.
+	translate map[string]string
 }
 
 // requestConn is a connection that carries one request at a time.
@@ -116,12 +119,12 @@
 	return c.requestConn.Close()
 }
 
-func newClient(dialect Dialect, b *bodyReader) *client {
-	c := &client{dialect: dialect, bodies: b, connsOpened: new(atomic.Uint64), connsOpen: new(atomic.Int64)}
-	dial := dialer(dialTimeout)
+func newClient(dialect Dialect, b *bodyReader, translate map[string]string) *client {
+	c := &client{dialect: dialect, bodies: b, translate: translate, connsOpened: new(atomic.Uint64), connsOpen: new(atomic.Int64), dials: newDialRegistry()}
+	dial := c.dials.register(dialer(dialTimeout))
 	c.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dial(ctx, network, address)
+			conn, err := dial(ctx, network, c.reachedAt(address))
 			if err != nil {
 				return nil, err
 			}
@@ -153,7 +156,65 @@
 	}
 }
 
-func dialer(timeout time.Duration) func(ctx context.Context, network, address string) (*requestConn, error) {
+// reachedAt returns the address at which this host reaches a server.
+func (c *client) reachedAt(address string) string {
+	if len(c.translate) == 0 {
+		return address
+	}
+	ip, port, err := net.SplitHostPort(address)
+	if err != nil || c.translate[ip] == "" {
+		return address
+	}
+	return net.JoinHostPort(c.translate[ip], port)
+}
+
+// dialFunc opens a connection.
+type dialFunc func(ctx context.Context, network, address string) (*requestConn, error)
+
+// dialRegistry knows the connections that are being opened, to give them up.
+type dialRegistry struct {
+	mu sync.Mutex
+	// pending has a function for each such connection that gives it up, by address.
+	pending map[string]map[*context.CancelFunc]bool
+}
+
+func newDialRegistry() *dialRegistry {
+	return &dialRegistry{pending: make(map[string]map[*context.CancelFunc]bool)}
+}
+
+// register returns a dial function whose connections are known while they are being opened.
+func (d *dialRegistry) register(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (*requestConn, error) {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		d.mu.Lock()
+		if d.pending[address] == nil {
+			d.pending[address] = make(map[*context.CancelFunc]bool)
+		}
+		d.pending[address][&cancel] = true
+		d.mu.Unlock()
+		defer func() {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			delete(d.pending[address], &cancel)
+			if len(d.pending[address]) == 0 {
+				delete(d.pending, address)
+			}
+		}()
+		return dial(ctx, network, address)
+	}
+}
+
+// abort gives up the connections that are being opened to an address.
+func (d *dialRegistry) abort(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for cancel := range d.pending[address] {
+		(*cancel)()
+	}
+}
+
+func dialer(timeout time.Duration) dialFunc {
 	d := &net.Dialer{
 		Timeout:         timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 2},
--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -135,6 +135,16 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_token_asks_total{ok=\"%t\"}", err == nil)).Inc()
 }
 
+// relayed records the end of a relay of this host.
+func (c *counters) relayed(err error) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_relays_sent_total{ok=\"%t\"}", err == nil)).Inc()
+}
+
+// relayAccepted records a relay of another host.
+func (c *counters) relayAccepted(accepted bool) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_relays_received_total{accepted=\"%t\"}", accepted)).Inc()
+}
+
 // pathProbed records the result of a probe of the path to a failure domain.
 func (c *counters) pathProbed(result detector.ProbeResult) {
 	name := "silent"
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -19,6 +20,7 @@
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/delegator"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/placer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/relayer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
@@ -52,8 +54,10 @@
 	// it. A host with few requests delegates several queries in this time.
 	gathererFailureWindow = 10 * time.Second
 	// maxDelegationAttempts is how many gathering hosts are tried before this host
-	// scatters the query itself.
+	// scatters the query itself. Those that decline within a round trip, since they reach
+	// no backend server, are not counted; at most maxIsolatedGatherers of them are asked.
 	maxDelegationAttempts = 2
+	maxIsolatedGatherers  = 8
 	// maxIdleConnsPerGatherer is the number of idle connections kept to each
 	// gathering host.
 	maxIdleConnsPerGatherer = 4
@@ -76,6 +80,7 @@
 	// mu guards the fields below.
 	mu     sync.Mutex
 	placer *placer.Placer
+	peers  *relayer.Peers
 	hosts  []delegator.Host
 	// allotters is chosen among hosts.
 	allotters delegator.Allotters
@@ -89,6 +94,7 @@
 	return &delegate{
 		plans:  make(map[int]delegator.Plan),
 		placer: placer.New(placing),
+		peers:  relayer.NewPeers(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		transport: &http.Transport{
 			DialContext: Dialer(gathererDialTimeout), DisableCompression: true,
 			MaxIdleConnsPerHost: maxIdleConnsPerGatherer, IdleConnTimeout: idleConnTimeout,
@@ -106,6 +112,7 @@
 	before = len(d.hosts)
 	d.hosts = read()
 	d.allotters = delegator.NewAllotters(d.hosts)
+	d.peers.Retain(d.hosts)
 	clear(d.plans)
 	return before, len(d.hosts)
 }
@@ -163,11 +170,13 @@
 	if plan.Direct {
 		return nil
 	}
-	host := d.chooseFastest(plan.Gatherers, tried, typicalLatency)
-	if host == nil {
-		host = d.chooseFastest(plan.Reserves, tried, typicalLatency)
+	for _, hosts := range [][]delegator.Host{plan.Gatherers, plan.Reserves, plan.Remote} {
+		host := d.chooseFastest(hosts, tried, typicalLatency)
+		if host != nil {
+			return host
+		}
 	}
-	return host
+	return nil
 }
 
 // chooseInDomain returns a host of a failure domain to gather a slice of a query,
@@ -182,10 +191,13 @@
 // there is none, and records that a request is sent to it. The caller holds d.mu.
 func (d *delegate) chooseFastest(hosts []delegator.Host, tried []string, typicalLatency time.Duration) *lister.Server {
 	candidates := make([]*lister.Server, 0, len(hosts))
+	now := time.Now()
 	for _, host := range hosts {
+		if d.peers.Avoided(now, host.Name) {
+			continue
+		}
 		candidates = append(candidates, &lister.Server{ID: host.Name, Address: host.Address, Domain: host.Domain, Slots: gathererSlots})
 	}
-	now := time.Now()
 	choice, ok := d.placer.Choose(now, candidates, tried, typicalLatency)
 	if !ok || choice.Unavailable {
 		return nil
@@ -203,6 +215,8 @@
 		outcome = placer.Canceled
 	case errors.Is(err, errNoReceipt):
 		outcome = placer.Failed
+	case errors.Is(err, errPeerIsolated):
+		outcome = placer.Canceled
 	case errors.Is(err, context.DeadlineExceeded):
 		outcome = placer.TimedOut
 	case ctx.Err() != nil:
@@ -213,6 +227,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
+	if errors.Is(err, errPeerIsolated) {
+		d.peers.Learn(now, host, relayer.Isolated)
+	}
 	d.placer.Ended(now, host, sent, placer.Result{Outcome: outcome, Latency: now.Sub(sent), TypicalLatency: typicalLatency})
 }
 
@@ -223,7 +240,10 @@
 var (
 	errNotGathered = errors.New("the gathering host is not ready, has no such route or has an older configuration")
 	errNoReceipt   = errors.New("the gathering host did not confirm the receipt")
-	errLateReceipt = errors.New("the receipt came while the request was given up")
+	// errPeerIsolated and errPeerBusy are kinds of errNotGathered.
+	errPeerIsolated = fmt.Errorf("%w: it reaches no backend server", errNotGathered)
+	errPeerBusy     = fmt.Errorf("%w: it has no room for the request", errNotGathered)
+	errLateReceipt  = errors.New("the receipt came while the request was given up")
 )
 
 // delegateQuery has a gathering host serve a query. It returns true if the request has
@@ -236,7 +256,7 @@
 	}
 	arrived, callerTimeLeft := time.Now(), a.call.Remaining
 	var tried []string
-	for range maxDelegationAttempts {
+	for isolated := 0; len(tried)-isolated < maxDelegationAttempts && isolated < maxIsolatedGatherers; {
 		host := f.delegate.choose(f.self(), connections, tried, a.route.Objective)
 		if host == nil {
 			return false
@@ -253,6 +273,9 @@
 		if r.Context().Err() != nil {
 			return true
 		}
+		if errors.Is(err, errPeerIsolated) {
+			isolated++
+		}
 		a.objectiveSpent = time.Since(arrived)
 		a.call.Remaining = callerTimeLeft - a.objectiveSpent
 		if mayHaveGathered(err) {
@@ -323,6 +346,7 @@
 	out.header = out.header.Clone()
 	out.header.Set(delegationHeader, strconv.FormatUint(a.version, 10))
 	out.header.Set("Expect", "100-continue")
+	f.cfg.Dialect.SetRemaining(out.header, time.Until(a.expires))
 	out.body = slices.Concat([]byte{proceedByte}, out.body)
 	for name, value := range headers {
 		out.header.Set(name, value)
@@ -340,11 +364,22 @@
 		return nil, fmt.Errorf("%w: %w", errNoReceipt, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	return f.readGathered(response, host)
+}
+
+// readGathered reads the answer of another host, or returns why that host has declined.
+func (f *Forwarder) readGathered(response *http.Response, host *lister.Server) (*Answer, error) {
 	body, err := f.bodies.read(response.Body, response.ContentLength, maxBodyBytes)
+	declined := response.Header.Get(declinedHeader)
 	switch {
 	case err != nil:
 		return nil, err
-	case response.StatusCode == http.StatusMisdirectedRequest:
+	case response.StatusCode != http.StatusMisdirectedRequest:
+	case declined == declinedIsolated:
+		return nil, errPeerIsolated
+	case declined == declinedBusy:
+		return nil, errPeerBusy
+	default:
 		return nil, errNotGathered
 	}
 	for _, notice := range takeDraining(response.Header, host.ID) {
@@ -353,7 +388,9 @@
 	for _, notice := range takeLimits(response.Header, host.ID) {
 		f.engine.push(notice)
 	}
-	return &Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	answer := &Answer{Status: response.StatusCode, Header: response.Header, Body: body}
+	answer.Code, answer.RetryAfter = takeResult(response.Header)
+	return answer, nil
 }
 
 // addDraining adds the servers that announced that they are draining to the
@@ -384,11 +421,15 @@
 // accepts from all hosts together, 0 if unbounded, and whether the route is
 // sharded.
 func (f *Forwarder) connections(route *matcher.Route) (n int, sharded bool) {
+	return connectionsOf(f.table.Load(), route)
+}
+
+func connectionsOf(table *matcher.Table, route *matcher.Route) (n int, sharded bool) {
 	target, ok := route.Target.(*matcher.Sharded)
 	if !ok {
 		return 0, false
 	}
-	service, _ := f.table.Load().Service(target.Services[0])
+	service, _ := table.Service(target.Services[0])
 	return service.MaxConnections, true
 }
 
@@ -411,7 +452,9 @@
 			continue
 		}
 		name := object.Key[len(f.cfg.Layout.HostPrefix):]
-		hosts = append(hosts, delegator.Host{Name: name, Domain: r.Domain, Address: r.Control, Capacity: r.Capacity, Link: r.Link, Registered: object.Version})
+		hosts = append(hosts, delegator.Host{
+			Name: name, Domain: r.Domain, Address: r.Control, Capacity: r.Capacity, Link: r.Link, Registered: object.Version, Relays: r.Relays,
+		})
 	}
 	return hosts
 }
@@ -429,47 +472,89 @@
 	})
 }
 
-// gather serves a query that another host has delegated. It declines with status 421
-// if this host is not ready or can't accept the request (it may have no route for it),
-// if the delegating host has a newer configuration, or if a slice was made with
-// another version of the configuration.
+// gather serves a query or a request that another host has sent. It declines with status 421
+// if this host is not ready, reaches no backend server, has no room for a relay or can't
+// accept the request (it may have no route for it), if the other host has a newer
+// configuration, or if a slice was made with another version of the configuration.
 func (f *Forwarder) gather(w http.ResponseWriter, r *http.Request, version string) {
-	if !f.Ready() {
-		w.WriteHeader(http.StatusMisdirectedRequest)
+	relay, err := takeRelayTerms(r.Header)
+	switch {
+	case err != nil:
+		f.decline(w, err.Error())
+		return
+	case f.engine.isolated.Load():
+		f.metrics.relayAccepted(false)
+		f.decline(w, declinedIsolated)
+		return
+	case !f.Ready():
+		f.decline(w, "")
 		return
 	}
-	sliceIndexes := r.Header.Get(sliceHeader)
 	body := r.Body
-	unconfirmed := sliceIndexes != "" && r.ContentLength == proceedLength
+	unconfirmed := r.Header.Get(sliceHeader) != "" && r.ContentLength == proceedLength && !relay.relayed
 	if !unconfirmed {
-		err := readProceedByte(body)
+		err = readProceedByte(body)
 		if err != nil {
 			// The delegating host has canceled the request; nobody receives this answer.
-			w.WriteHeader(http.StatusMisdirectedRequest)
+			f.decline(w, "")
 			return
 		}
 	}
-	removeProceedByte(r)
-	a, failure := f.accept(w, r)
-	senderVersion, err := strconv.ParseUint(version, 10, 64)
-	if failure != nil || err != nil || a.version < senderVersion {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	a.objectiveSpent, a.delegated = delegationReserve, true
-	if sliceIndexes != "" {
-		err = a.restrictTo(sliceIndexes, r.Header.Get(neededHeader), senderVersion)
-	}
+	a, err := f.acceptFromPeer(w, r, version, relay)
 	switch {
 	case err != nil:
-		http.Error(w, err.Error(), http.StatusMisdirectedRequest)
+		f.decline(w, err.Error())
+	case relay.relayed && !f.room.admit(a.route.SubRequests()):
+		f.metrics.relayAccepted(false)
+		f.decline(w, declinedBusy)
 	case unconfirmed:
 		f.runUnconfirmed(w, r, a, body)
 	default:
+		if relay.relayed {
+			f.metrics.relayAccepted(true)
+		}
 		f.run(w, r, a)
 	}
 }
 
+// decline declines a request of another host, which has not run, for a reason that may be
+// empty.
+func (f *Forwarder) decline(w http.ResponseWriter, reason string) {
+	if reason != "" {
+		w.Header().Set(declinedHeader, reason)
+	}
+	w.WriteHeader(http.StatusMisdirectedRequest)
+}
+
+var (
+	errNotAccepted   = errors.New("this host can't accept the request")
+	errOlderVersion  = errors.New("this host has an older configuration")
+	errInvalidSender = errors.New("the version of the other host is not a number")
+)
+
+// acceptFromPeer reads a request of another host, made with a version of the configuration.
+func (f *Forwarder) acceptFromPeer(w http.ResponseWriter, r *http.Request, version string, relay relayTerms) (*arrival, error) {
+	sliceIndexes, needed := r.Header.Get(sliceHeader), r.Header.Get(neededHeader)
+	removeProceedByte(r)
+	a, failure := f.accept(w, r)
+	if failure != nil {
+		return nil, errNotAccepted
+	}
+	senderVersion, err := strconv.ParseUint(version, 10, 64)
+	switch {
+	case err != nil:
+		return nil, errInvalidSender
+	case a.version < senderVersion:
+		return nil, errOlderVersion
+	}
+	a.objectiveSpent, a.delegated, a.relay = delegationReserve, true, relay
+	if sliceIndexes != "" {
+		err = a.restrictTo(sliceIndexes, needed, senderVersion)
+	}
+	a.objectiveSpent += relay.objectiveSpent
+	return a, err
+}
+
 // readProceedByte confirms the receipt of a request (net/http sends 100 Continue
 // at the first read) and waits until the delegating host has got that confirmation
 // and answers with the proceed byte.
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -68,8 +68,12 @@
 	unconfirmed bool
 	outbound    outbound
 	reply       chan reply
-	// delegated is true if another host has delegated the request.
+	// delegated is true if another host has delegated the request, relay has the terms if it
+	// has sent it on.
 	delegated bool
+	relay     relayTerms
+	// expires is when the caller no longer waits.
+	expires time.Time
 	// draining collects the servers for reply.draining.
 	draining []*lister.Server
 }
@@ -152,6 +156,8 @@
 type outstandingAttempt struct {
 	request uint64
 	server  *lister.Server
+	// relayed means that a peer chooses the server.
+	relayed bool
 	cancel  context.CancelFunc
 }
 
@@ -166,11 +172,17 @@
 	servers  *lister.Lister
 	assessor *assessor.Assessor
 	notReady atomic.Bool
+	// isolated is true while no backend server can be reached, partitioned while the host is
+	// not ready since it reaches the store neither.
+	isolated    atomic.Bool
+	partitioned atomic.Bool
 	// notReadySince is when the readiness last changed: while the host is not ready,
 	// the time at which it became so.
 	notReadySince time.Time
 	// delegateSlice has a host of another failure domain gather some sub-requests.
 	delegateSlice func(ctx context.Context, r *arrival, s *scatterer.SendSlice) []*Answer
+	// relay sends sub-requests through a peer.
+	relay func(ctx context.Context, r *arrival, s *scatterer.SendRelay) relayEnd
 	// askHosts asks other hosts for tokens; asking is true while it runs.
 	askHosts func(ctx context.Context, asks []allotter.Ask) (grants []allotter.Grant, unanswered []allotter.Ask)
 	asking   bool
@@ -203,7 +215,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &engine{
 		log: cfg.Logger, domain: cfg.Settings.Domain, metrics: metrics, client: c, checkStore: checkStore, probeOtherDomains: probeOtherDomains,
-		delegateSlice: f.delegateSlice, askHosts: f.askForTokens,
+		delegateSlice: f.delegateSlice, relay: f.relay, askHosts: f.askForTokens,
 		queue:       queuer.New[event](eventQueueCapacity),
 		machine:     scatterer.New(cfg.Settings.scatterer(), servers),
 		servers:     servers,
@@ -270,7 +282,10 @@
 	case *arrival:
 		e.requests[item.id] = item
 		e.answers[item.id] = make(map[uint64]*Answer)
-		e.act(e.machine.Step(now, &scatterer.Arrived{Request: item.id, Route: item.route, CallerTimeLeft: item.call.Remaining, ObjectiveSpent: item.objectiveSpent, BudgetShare: item.budgetShare, Slice: item.slice, Unconfirmed: item.unconfirmed}))
+		e.act(e.machine.Step(now, &scatterer.Arrived{
+			Request: item.id, Route: item.route, CallerTimeLeft: item.call.Remaining, ObjectiveSpent: item.objectiveSpent, BudgetShare: item.budgetShare, Slice: item.slice, Unconfirmed: item.unconfirmed,
+			Forwarded: item.delegated, MaxAttempts: item.relay.maxAttempts, Repeat: item.relay.repeat,
+		}))
 	case attemptEnd:
 		end := e.ended(item)
 		if end != nil {
@@ -301,9 +316,8 @@
 		e.markDraining(item.id, item.startedAtMillis, item.host)
 	case tokensAnswered, limitNotice, hostCount:
 		e.stepLimits(now, item)
-	case pathProbed:
-		e.metrics.pathProbed(item.result)
-		e.act(e.machine.Step(now, &scatterer.ProbeEnded{Domain: item.domain, Result: item.result}))
+	case relayEnd, pathProbed:
+		e.stepReach(now, item)
 	case delegationEnd:
 		e.assessor.RequestEnded(now, item.served)
 	case policyChange:
@@ -322,13 +336,15 @@
 	s.cancel()
 	delete(e.outstanding, item.attempt)
 	a := item.answer
-	e.metrics.attempt(a.Code)
+	if !s.relayed {
+		e.metrics.attempt(a.Code)
+	}
 	r := e.requests[s.request]
 	if r == nil {
 		return nil
 	}
 	e.answers[s.request][item.attempt] = a
-	if a.Code != classifier.OK {
+	if a.Code != classifier.OK && !s.relayed {
 		e.log.Info(logger.AttemptFailed, "request", r.call.ID, "server", s.server.ID,
 			"domain", s.server.Domain, "result", a.Code, "status", a.Status, "error", a.Err)
 	}
@@ -390,6 +406,8 @@
 			e.sendSlice(a)
 		case *scatterer.AskTokens:
 			e.askForTokens(time.Now())
+		case *scatterer.SendRelay:
+			e.sendRelay(a)
 		case *scatterer.ProbePath:
 			e.probePath(a)
 		case *scatterer.ReachChanged:
@@ -461,6 +479,10 @@
 	covered := 0
 	for i, attempt := range a.Attempts {
 		answers[i] = e.answers[a.Request][attempt]
+		if answers[i].whole() {
+			answers, covered = []*Answer{answers[i]}, 1
+			break
+		}
 		if answers[i] != nil {
 			covered++
 		}
@@ -529,13 +551,15 @@
 	if e.assessor.ShouldProbe(now, e.machine.DomainUnreachable(now, unreachableProbeDelay)) {
 		e.probeOtherDomains()
 	}
+	e.assessor.SetIsolated(e.isolated.Load())
 	notReady := !e.assessor.Ready(now)
+	e.partitioned.Store(notReady && !e.assessor.Diverts())
 	if notReady == e.notReady.Load() {
 		return
 	}
 	e.notReady.Store(notReady)
 	e.notReadySince = now
-	e.log.Warn(logger.ReadinessChanged, "fit", !notReady, "inFlight", e.machine.Len(), "servers", e.servers.UsableCount())
+	e.log.Warn(logger.ReadinessChanged, "fit", !notReady, "isolated", e.isolated.Load(), "inFlight", e.machine.Len(), "servers", e.servers.UsableCount())
 }
 
 func (e *engine) forget(id uint64) {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -67,6 +67,7 @@
 	bodies   *bodyReader
 	delegate *delegate
 	tokens   *tokenBroker
+	room     *room
 	engine   *engine
 	// listeners are those for readiness, metrics and other hosts; callers is the one
 	// for callers.
@@ -113,11 +114,12 @@
 func New(cfg Config) (*Forwarder, error) {
 	b := &bodyReader{}
 	f := &Forwarder{
-		cfg: cfg, metrics: newCounters(), client: newClient(cfg.Dialect, b), bodies: b,
+		cfg: cfg, metrics: newCounters(), client: newClient(cfg.Dialect, b, cfg.Settings.Translate), bodies: b,
 		objects: cacher.New(), eras: newEras(), source: watcher.NewSource(maxPeerAge),
 	}
 	f.delegate, f.tokens = newDelegate(cfg), newTokenBroker()
 	f.settings.Store(&cfg.Settings)
+	f.room = newRoom(f.self())
 	f.store.Store(&openStore{f.connect(cfg.Settings.Store), cfg.Settings.Store})
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -50,10 +50,18 @@
 
 // run passes a request to the engine and writes the answer.
 func (f *Forwarder) run(w http.ResponseWriter, r *http.Request, a *arrival) {
-	f.engine.push(a)
+	f.begin(a)
 	f.awaitReply(w, r, a)
 }
 
+// begin passes a request to the engine.
+func (f *Forwarder) begin(a *arrival) {
+	if !a.relay.relayed {
+		f.room.add(a.route.SubRequests())
+	}
+	f.engine.push(a)
+}
+
 // awaitReply waits for the engine's reply to a request and writes it.
 func (f *Forwarder) awaitReply(w http.ResponseWriter, r *http.Request, a *arrival) {
 	select {
@@ -74,6 +82,7 @@
 	}
 	call, err := f.cfg.Dialect.Call(r)
 	a.call = call
+	a.expires = time.Now().Add(call.Remaining)
 	if err != nil {
 		return a, classifier.NewFailure(classifier.InvalidRequest, "%v", err)
 	}
@@ -90,8 +99,7 @@
 	a.budgetShare = f.budgetShare(route)
 	header := r.Header.Clone()
 	removeConnectionHeaders(header)
-	header.Del(sliceHeader)
-	header.Del(neededHeader)
+	removeOwnHeaders(header)
 	_, ok = header["User-Agent"]
 	if !ok {
 		header["User-Agent"] = nil
@@ -154,6 +162,13 @@
 	}
 }
 
+// removeOwnHeaders removes the headers of exchanges between hosts, which callers must not set.
+func removeOwnHeaders(h http.Header) {
+	for _, name := range []string{sliceHeader, neededHeader, delegationHeader, relayHeader} {
+		h.Del(name)
+	}
+}
+
 // refuse refuses a request that did not reach the engine of this host.
 func (f *Forwarder) refuse(w http.ResponseWriter, a *arrival, failure *classifier.Failure) {
 	f.metrics.refused(failure.Code)
@@ -184,12 +199,15 @@
 		if a.slice && end.failure.Code.NotRun() {
 			w.Header().Set(notRunHeader, "1")
 		}
+		if a.relay.relayed {
+			setResult(w.Header(), end.failure)
+		}
 		f.writeFailure(w, end.failure)
 		return
 	}
 	sharded, ok := a.route.Target.(*matcher.Sharded)
 	switch {
-	case !ok:
+	case !ok || end.answers[0].whole():
 		writeAnswer(w, a.outbound.method, end.answers[0])
 	case a.slice:
 		f.writeSlice(w, sharded, end.answers)
--- a/internal/forwarder/members.go
+++ b/internal/forwarder/members.go
@@ -37,6 +37,8 @@
 	Capacity float64 `json:"capacity"`
 	// Link is the bandwidth of the host's link in Mbit/s.
 	Link float64 `json:"link"`
+	// Relays means that the host keeps to the limits that a relayed request states.
+	Relays bool `json:"relays"`
 }
 
 // registerAndList registers this host and then lists the hosts periodically until
@@ -123,7 +125,7 @@
 func (f *Forwarder) register(ctx context.Context, era uint64) error {
 	settings := f.Settings()
 	key := f.cfg.Layout.HostPrefix + settings.Name
-	own := registration{Domain: settings.Domain, Control: settings.Listen.Control, Capacity: settings.Capacity, Link: settings.Link}
+	own := registration{Domain: settings.Domain, Control: settings.Listen.Control, Capacity: settings.Capacity, Link: settings.Link, Relays: true}
 	held, ok := f.objects.Get(key)
 	if ok && own.equals(held) && held.Version.Era() == era {
 		return nil
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -70,7 +70,7 @@
 
 // Compare answers either call of a comparison: the first has a digest of all objects
 // of the peer, the second the versions in the buckets of objects that differ. Response
-// headers state the age of this host's objects, if known, and whether it is not ready.
+// headers state the age of this host's objects, if known, and whether it is partitioned.
 func (c control) Compare(_ context.Context, r *connect.Request[exchanger.CompareRequest]) (*connect.Response[exchanger.CompareResponse], error) {
 	answer, err := comparer.Answer(c.f.objects, r.Msg)
 	if err != nil {
@@ -81,7 +81,7 @@
 	if c.f.lostPrefixes.Load() == 0 && at.Unix() > 0 {
 		comparer.SetAge(response.Header(), time.Since(at))
 	}
-	if c.f.engine.notReady.Load() {
+	if c.f.engine.partitioned.Load() {
 		comparer.SetNotReady(response.Header())
 	}
 	return response, nil
--- a/internal/forwarder/policy.go
+++ b/internal/forwarder/policy.go
@@ -72,6 +72,8 @@
 	// PathDoubt is how long attempts at the servers of a failure domain may stay unanswered
 	// until the path to it is probed; 0 turns off what depends on these probes.
 	PathDoubt *decoder.Duration `json:"pathDoubt"`
+	// Relays lets requests whose servers can't be reached be sent through another host.
+	Relays *bool `json:"relays"`
 	// PauseMemory is how long after a pause (Retry-After) a server without a free slot
 	// is avoided if another server is available, as it may reject requests.
 	PauseMemory *decoder.Duration `json:"pauseMemory"`
@@ -100,6 +102,7 @@
 	return scatterer.Config{
 		Placer:              p.placer(s.Domain),
 		Detector:            reach,
+		Relays:              valueOr(p.Relays, true),
 		AnswerMargin:        answerMargin,
 		SubRequestMargin:    subRequestMargin,
 		HedgeFraction:       valueOr(p.HedgeFraction, defaultHedgeFraction),
--- /dev/null
+++ b/internal/forwarder/relay.go
@@ -0,0 +1,336 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/delegator"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/relayer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
+)
+
+const (
+	// relayHeader marks a request that another host sends on since it can't reach the backend
+	// servers. It states the number of servers that may still run each sub-request, 1 if
+	// the request has been counted for the budget of extra attempts, else 0, and how many
+	// milliseconds of the latency objective are over.
+	relayHeader = "X-Rhubarbpost-Relay"
+	// resultHeader states the result code of a relay that was not served, and the Retry-After
+	// in milliseconds.
+	resultHeader = "X-Rhubarbpost-Result"
+	// declinedHeader states why a host declines a request of another one.
+	declinedHeader   = "X-Rhubarbpost-Declined"
+	declinedIsolated = "isolated"
+	declinedBusy     = "busy"
+	// relayReceiptTimeout is how long a peer may take to confirm the receipt of a relay,
+	// tens of round trips.
+	relayReceiptTimeout = 60 * time.Millisecond
+	// maxRelayPeers is how many peers are tried for the same relay.
+	maxRelayPeers = 5
+)
+
+var errNoPeer = errors.New("no peer is available")
+
+// relayTerms are the terms on which a host sends on a request for another one.
+type relayTerms struct {
+	// relayed is false for a request that was not sent on.
+	relayed        bool
+	maxAttempts    int
+	repeat         bool
+	objectiveSpent time.Duration
+}
+
+// String returns the value of relayHeader.
+func (t relayTerms) String() string {
+	repeat := 0
+	if t.repeat {
+		repeat = 1
+	}
+	return fmt.Sprintf("%d %d %d", t.maxAttempts, repeat, t.objectiveSpent.Milliseconds())
+}
+
+// takeRelayTerms removes relayHeader and returns the terms that it states.
+func takeRelayTerms(h http.Header) (relayTerms, error) {
+	text := h.Get(relayHeader)
+	if text == "" {
+		return relayTerms{}, nil
+	}
+	h.Del(relayHeader)
+	var repeat int
+	var spentMillis int64
+	t := relayTerms{relayed: true}
+	_, err := fmt.Sscanf(text, "%d %d %d", &t.maxAttempts, &repeat, &spentMillis)
+	if err != nil || t.maxAttempts < 1 || spentMillis < 0 {
+		return t, fmt.Errorf("%s %q doesn't state the terms of a relay", relayHeader, text)
+	}
+	t.repeat, t.objectiveSpent = repeat != 0, time.Duration(spentMillis)*time.Millisecond
+	return t, nil
+}
+
+// setResult states why a relay was not served.
+func setResult(h http.Header, failure *classifier.Failure) {
+	h.Set(resultHeader, fmt.Sprintf("%d %d", failure.Code, failure.RetryAfter.Milliseconds()))
+}
+
+// takeResult removes resultHeader and returns what it states, 0 without one.
+func takeResult(h http.Header) (code classifier.Code, retryAfter time.Duration) {
+	var millis int64
+	_, err := fmt.Sscanf(h.Get(resultHeader), "%d %d", &code, &millis)
+	h.Del(resultHeader)
+	if err != nil {
+		return 0, 0
+	}
+	return code, time.Duration(millis) * time.Millisecond
+}
+
+// room tells whether this host has room for relays of its peers.
+type room struct {
+	mu   sync.Mutex
+	room *relayer.Room
+}
+
+func newRoom(self delegator.Host) *room {
+	return &room{room: relayer.NewRoom(self.SubRequestRate())}
+}
+
+func (r *room) add(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.room.Add(time.Now(), n)
+}
+
+func (r *room) admit(n int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.room.Admit(time.Now(), n)
+}
+
+// relayEnd is the end of a relay with the ends of its attempts.
+type relayEnd struct {
+	request    uint64
+	ends       []attemptEnd
+	outcome    scatterer.RelayOutcome
+	retryAfter time.Duration
+}
+
+func (relayEnd) engineEvent() {}
+
+// relay sends sub-requests of a request through a peer.
+func (f *Forwarder) relay(ctx context.Context, r *arrival, s *scatterer.SendRelay) relayEnd {
+	terms := relayTerms{relayed: true, maxAttempts: s.MaxAttempts, repeat: s.Repeat, objectiveSpent: r.objectiveSpent + s.ObjectiveSpent}
+	headers := map[string]string{relayHeader: terms.String()}
+	if !s.Whole {
+		for name, value := range sliceHeaders(s.SubRequests, s.Needed) {
+			headers[name] = value
+		}
+	}
+	// A host of an older build may run a request more often than the terms allow.
+	strict := !s.Whole || s.MaxAttempts < r.route.Attempts
+	begun := time.Now()
+	err := errNoPeer
+	var tried []string
+	for len(tried) < maxRelayPeers {
+		peer, ok := f.delegate.choosePeer(f.self(), r.route, f.table.Load(), tried, strict)
+		if !ok {
+			break
+		}
+		tried = append(tried, peer.Name)
+		var answer *Answer
+		server := &lister.Server{ID: peer.Name, Address: peer.Address, Domain: peer.Domain}
+		answer, err = f.exchangeWithGatherer(ctx, r, server, relayReceiptTimeout, headers)
+		f.delegate.peerEnded(ctx, peer.Name, err)
+		f.logRelay(r, s, peer.Name, answer, err, begun)
+		if err == nil {
+			return f.servedRelay(r, s, answer)
+		}
+		if ctx.Err() != nil || mayHaveGathered(err) {
+			break
+		}
+	}
+	f.metrics.relayed(err)
+	failed := &Answer{Code: classifier.NoServer, Err: err, Exhausted: true}
+	outcome := scatterer.RelayUnserved
+	switch {
+	case ctx.Err() != nil:
+		failed.Code, outcome = classifier.CodeOf(ctx.Err(), classifier.Canceled), scatterer.RelayCanceled
+		if !mayHaveGathered(err) {
+			failed.Code = classifier.NotSent
+		}
+	case mayHaveGathered(err):
+		failed.Code, outcome = classifier.ServerFailed, scatterer.RelayFailed
+	}
+	return endRelay(s, failedSlice(s.SubRequests, failed), outcome)
+}
+
+// logRelay records that a request was sent through a peer.
+func (f *Forwarder) logRelay(r *arrival, s *scatterer.SendRelay, peer string, answer *Answer, err error, begun time.Time) {
+	status := 0
+	var code classifier.Code
+	if answer != nil {
+		status, code = answer.Status, answer.Code
+	}
+	f.cfg.Logger.Info(logger.RequestRelayed, "request", r.call.ID, "route", r.route.Name, "peer", peer, "parts", len(s.SubRequests),
+		"whole", s.Whole, "attempts", s.MaxAttempts, "repeat", s.Repeat, "status", status, "result", code, "error", err,
+		"tookMillis", time.Since(begun).Milliseconds())
+}
+
+// servedRelay returns the end of a relay that a peer has answered.
+func (f *Forwarder) servedRelay(r *arrival, s *scatterer.SendRelay, answer *Answer) relayEnd {
+	f.metrics.relayed(nil)
+	if !s.Whole {
+		answers, err := sliceAnswers(s.SubRequests, answer)
+		if err != nil {
+			answers = failedSlice(s.SubRequests, &Answer{Code: classifier.ServerFailed, Err: err, Exhausted: true})
+		}
+		for _, a := range answers {
+			a.Exhausted = a.Code != classifier.OK
+		}
+		return endRelay(s, answers, f.relayOutcome(answer))
+	}
+	f.classifyRelayed(r, answer)
+	answer.Exhausted = answer.Code != classifier.OK
+	return endRelay(s, failedSlice(s.SubRequests, answer), f.relayOutcome(answer))
+}
+
+// relayOutcome returns what the answer of a peer tells about its reach.
+func (f *Forwarder) relayOutcome(answer *Answer) scatterer.RelayOutcome {
+	switch {
+	case answer.Status < http.StatusMultipleChoices || answer.FinalResponse:
+		return scatterer.RelayServed
+	case answer.Code == classifier.NoServer || answer.Code == classifier.ServerUnreachable:
+		return scatterer.RelayUnserved
+	}
+	return scatterer.RelayFailed
+}
+
+// classifyRelayed sets the code of a peer's answer to a whole request.
+func (f *Forwarder) classifyRelayed(r *arrival, answer *Answer) {
+	if answer.Code != 0 {
+		return
+	}
+	_, sharded := r.route.Target.(*matcher.Sharded)
+	if sharded && answer.Status == http.StatusOK {
+		answer.Code, answer.Whole = classifier.OK, true
+		return
+	}
+	f.cfg.Dialect.Classify(r.call, answer)
+	// What the server announces has reached the peer, which tells it by headers of its own.
+	answer.Draining, answer.Pause, answer.Limit, answer.LimitErr, answer.Load = false, 0, nil, nil, nil
+	if answer.Proof == "" && answer.Code != classifier.OK {
+		answer.Code = codeOfStatus(answer.Status)
+	}
+}
+
+// codeOfStatus returns the result code of a failure of a peer of an older build, which
+// doesn't state it.
+func codeOfStatus(status int) classifier.Code {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return classifier.NotSent
+	case http.StatusGatewayTimeout:
+		return classifier.DeadlineExceeded
+	}
+	return classifier.ServerFailed
+}
+
+// endRelay returns the end of a relay with one answer for each of its sub-requests.
+func endRelay(s *scatterer.SendRelay, answers []*Answer, outcome scatterer.RelayOutcome) relayEnd {
+	end := relayEnd{request: s.Request, outcome: outcome}
+	for i, answer := range answers {
+		end.ends = append(end.ends, attemptEnd{attempt: s.Attempts[i], answer: answer})
+		end.retryAfter = max(end.retryAfter, answer.RetryAfter)
+	}
+	return end
+}
+
+// choosePeer returns a host through which a request can be sent, and false if there is none.
+// With strict, it is one that keeps to the terms of a relay. peerEnded is to be called for it.
+func (d *delegate) choosePeer(self delegator.Host, route *matcher.Route, table *matcher.Table, tried []string, strict bool) (delegator.Host, bool) {
+	connections, sharded := connectionsOf(table, route)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	tiers := delegator.RelayPeers(self, d.hosts, connections, sharded)
+	if strict {
+		for i := range tiers {
+			tiers[i] = keepingTerms(tiers[i])
+		}
+	}
+	peer, ok := d.peers.Choose(time.Now(), self.Domain, tiers, tried)
+	if ok {
+		d.peers.Sent(peer.Name)
+	}
+	return peer, ok
+}
+
+func keepingTerms(hosts []delegator.Host) []delegator.Host {
+	var kept []delegator.Host
+	for _, host := range hosts {
+		if host.Relays {
+			kept = append(kept, host)
+		}
+	}
+	return kept
+}
+
+// peerEnded records the end of an exchange with the host that choosePeer returned.
+func (d *delegate) peerEnded(ctx context.Context, peer string, err error) {
+	outcome := relayer.Unreached
+	switch {
+	case err == nil:
+		outcome = relayer.Accepted
+	case ctx.Err() != nil:
+		outcome = relayer.Canceled
+	case errors.Is(err, errPeerIsolated):
+		outcome = relayer.Isolated
+	case errors.Is(err, errPeerBusy):
+		outcome = relayer.Busy
+	case errors.Is(err, errNotGathered):
+		outcome = relayer.Declined
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.peers.Ended(time.Now(), peer, outcome)
+}
+
+// sendRelay sends sub-requests through a peer, as one exchange. The exchange is canceled
+// once all its attempts have ended or are canceled.
+func (e *engine) sendRelay(a *scatterer.SendRelay) {
+	r := e.requests[a.Request]
+	ctx, cancel := context.WithDeadline(e.ctx, a.Deadline)
+	open := len(a.Attempts)
+	for _, id := range a.Attempts {
+		e.outstanding[id] = outstandingAttempt{request: a.Request, server: &lister.Server{}, relayed: true, cancel: sync.OnceFunc(func() {
+			open--
+			if open == 0 {
+				cancel()
+			}
+		})}
+	}
+	e.exchanges.Go(func() {
+		defer cancel()
+		e.push(e.relay(ctx, r, a))
+	})
+}
+
+// relayEnded applies the end of a relay.
+func (e *engine) relayEnded(now time.Time, item relayEnd) {
+	end := &scatterer.RelayEnded{Request: item.request, Outcome: item.outcome, RetryAfter: item.retryAfter}
+	for _, attempt := range item.ends {
+		ended := e.ended(attempt)
+		if ended == nil {
+			// The request has ended; the scatterer counts the relay by its first attempt.
+			ended = &scatterer.AttemptEnded{Attempt: attempt.attempt, Code: classifier.Canceled}
+		}
+		end.Ends = append(end.Ends, ended)
+	}
+	e.assessor.RelayEnded(item.outcome == scatterer.RelayServed, item.outcome == scatterer.RelayUnserved)
+	e.act(e.machine.Step(now, end))
+}
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -57,6 +58,9 @@
 	Listen Listen  `json:"listen"`
 	// Seeds are control addresses of hosts that may be running.
 	Seeds []string `json:"seeds"`
+	// Translate has the IP addresses of backend servers that this host reaches at other
+	// addresses, as behind a router that translates addresses.
+	Translate map[string]string `json:"translate"`
 	// FirstStart is set if all hosts start for the first time, before any callers.
 	FirstStart bool `json:"firstStart"`
 	// Store is the address of the platform's store.
@@ -128,6 +132,9 @@
 	c.address(s.Listen.Control, "listen", "control")
 	c.address(s.Listen.Metrics, "listen", "metrics")
 	c.address(s.Store, "store")
+	for from, to := range s.Translate {
+		c.require(isIP(from) && isIP(to), strconv.Quote(from+": "+to)+" is not a pair of addresses", "IP addresses", "translate")
+	}
 	c.require(s.Extra.Ratio >= 0 && s.Extra.Ratio <= 1, "out of range", "0 to 1", "extra", "ratio")
 	c.require(s.Extra.Burst >= 0, "negative", "0 or more", "extra", "burst")
 	c.require(s.Extra.Window.Value() > 0, "not a positive duration", `a duration such as "10s"`, "extra", "window")
@@ -140,6 +147,11 @@
 	}
 }
 
+func isIP(text string) bool {
+	_, err := netip.ParseAddr(text)
+	return err == nil
+}
+
 func (c *settingsChecker) address(value string, path ...any) {
 	c.require(listener.CheckAddress(value) == nil, strconv.Quote(value)+" is not an address",
 		"an IP address with a port, such as 127.0.0.1:8080", path...)
--- a/internal/forwarder/slice.go
+++ b/internal/forwarder/slice.go
@@ -47,7 +47,7 @@
 	connections, _ := f.connections(r.route)
 	host := f.delegate.chooseInDomain(f.self(), s.Domain, connections, r.route.Objective)
 	if host == nil {
-		return failedSlice(s, &Answer{Code: classifier.NotSent, Err: errNoHost})
+		return failedSlice(s.SubRequests, &Answer{Code: classifier.NotSent, Err: errNoHost})
 	}
 	sent := time.Now()
 	answers, err := f.exchangeSlice(ctx, r, s, host)
@@ -63,13 +63,13 @@
 	case mayHaveGathered(err):
 		failed.Code, failed.Exhausted = classifier.ServerFailed, true
 	}
-	return failedSlice(s, failed)
+	return failedSlice(s.SubRequests, failed)
 }
 
 // failedSlice returns answers that report the same failure for each sub-request of a
 // slice.
-func failedSlice(s *scatterer.SendSlice, a *Answer) []*Answer {
-	answers := make([]*Answer, len(s.SubRequests))
+func failedSlice(subRequests []int, a *Answer) []*Answer {
+	answers := make([]*Answer, len(subRequests))
 	for i := range answers {
 		answers[i] = a
 	}
@@ -78,26 +78,36 @@
 
 // exchangeSlice sends a slice and reads the answer.
 func (f *Forwarder) exchangeSlice(ctx context.Context, r *arrival, s *scatterer.SendSlice, host *lister.Server) ([]*Answer, error) {
-	answer, err := f.exchangeWithGatherer(ctx, r, host, sliceReceiptTimeout, map[string]string{
-		sliceHeader: joinInts(s.SubRequests), neededHeader: strconv.Itoa(s.Needed),
-	})
-	switch {
-	case err != nil:
+	answer, err := f.exchangeWithGatherer(ctx, r, host, sliceReceiptTimeout, sliceHeaders(s.SubRequests, s.Needed))
+	if err != nil {
 		return nil, err
+	}
+	return sliceAnswers(s.SubRequests, answer)
+}
+
+// sliceHeaders returns the headers that name the shards of a slice and how many of them must
+// answer.
+func sliceHeaders(subRequests []int, needed int) map[string]string {
+	return map[string]string{sliceHeader: joinInts(subRequests), neededHeader: strconv.Itoa(needed)}
+}
+
+// sliceAnswers returns one answer for each shard of a slice from that of the other host.
+func sliceAnswers(subRequests []int, answer *Answer) ([]*Answer, error) {
+	switch {
 	case answer.Header.Get(notRunHeader) != "":
-		return failedSlice(s, &Answer{Code: classifier.NotSent, Err: errSliceRefused}), nil
+		return failedSlice(subRequests, &Answer{Code: classifier.NotSent, Err: errSliceRefused}), nil
 	case answer.Status != http.StatusOK:
 		// The other host has run the slice and reports a failure.
-		return failedSlice(s, &Answer{Code: classifier.ServerFailed, Exhausted: true}), nil
+		return failedSlice(subRequests, &Answer{Code: classifier.ServerFailed, Exhausted: true}), nil
 	}
-	return readSlice(s, answer.Header, answer.Body)
+	return readSlice(subRequests, answer.Header, answer.Body)
 }
 
 // readSlice returns one answer for each shard of a slice. The answer of the first
 // covered shard holds the merged rows of all covered shards; shards that are not
 // covered have timed out.
-func readSlice(s *scatterer.SendSlice, h http.Header, body []byte) ([]*Answer, error) {
-	covered, err := splitInts(h.Get(sliceHeader), len(s.SubRequests))
+func readSlice(subRequests []int, h http.Header, body []byte) ([]*Answer, error) {
+	covered, err := splitInts(h.Get(sliceHeader), len(subRequests))
 	if err != nil {
 		return nil, err
 	}
@@ -105,7 +115,7 @@
 	if len(proofs) != len(covered) {
 		return nil, fmt.Errorf("slice answer has %d proofs for %d covered shards", len(proofs), len(covered))
 	}
-	answers := failedSlice(s, &Answer{Code: classifier.DeadlineExceeded, Exhausted: true})
+	answers := failedSlice(subRequests, &Answer{Code: classifier.DeadlineExceeded, Exhausted: true})
 	for i, index := range covered {
 		answers[index] = &Answer{Code: classifier.OK, Proof: proofs[i]}
 		if i == 0 {
@@ -120,7 +130,7 @@
 // run at one server only.
 func (f *Forwarder) runUnconfirmed(w http.ResponseWriter, r *http.Request, a *arrival, body io.Reader) {
 	a.unconfirmed = true
-	f.engine.push(a)
+	f.begin(a)
 	err := readProceedByte(body)
 	if err != nil {
 		// The delegating host has canceled the request.
--- a/internal/forwarder/types.go
+++ b/internal/forwarder/types.go
@@ -50,6 +50,11 @@
 	Err error
 	// Evidence is what the exchange tells about the path to the server.
 	Evidence detector.Evidence
+	// RetryAfter is when another host that refused the request expects to be able to serve it.
+	RetryAfter time.Duration
+	// Whole means that a peer has served the whole request; the answer goes to the caller as
+	// it is.
+	Whole bool
 	// Exhausted is true if a gathering host may have used all attempts of the
 	// sub-request. Unacknowledged is true if that host did not confirm the receipt;
 	// it may then have used one attempt.
@@ -62,6 +67,8 @@
 type Dialect interface {
 	// Call parses the headers of a caller's request.
 	Call(r *http.Request) (Call, error)
+	// SetRemaining sets the header that states how long the caller still waits.
+	SetRemaining(h http.Header, remaining time.Duration)
 	// SetTarget sets the headers that direct a request to one incarnation of a server.
 	SetTarget(h http.Header, server *lister.Server, remaining time.Duration)
 	// Classify sets the code, proof, load, pause, limit and draining mark of an answer
@@ -101,3 +108,8 @@
 	ServerPrefix string
 	HostPrefix   string
 }
+
+// whole reports whether there is an answer of a peer that served the whole request.
+func (a *Answer) whole() bool {
+	return a != nil && a.Whole
+}
--- a/internal/lab/standin/link.go
+++ b/internal/lab/standin/link.go
@@ -39,8 +39,8 @@
 	return CutNone, fmt.Errorf("unknown cut %q (allowed: silent, reset, refuse)", text)
 }
 
-// link is the path from one host to a server: an address of its own at which the server
-// serves only that host.
+// link is the path from one host to a server: an IP address of its own at which the server
+// serves only that host, on the same port.
 type link struct {
 	server  *Server
 	address string
@@ -111,19 +111,22 @@
 	return errors.Join(err, peekErr)
 }
 
-// LinkTo returns the address at which the server serves only one host, and over which
-// SetCut has power.
-func (s *Server) LinkTo(host string) (string, error) {
-	socket, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // a stand-in for tests lives as long as its process
+// LinkTo gives a host a path of its own, over which SetCut has power: the server also listens
+// at an IP address of loopback that only this host uses.
+func (s *Server) LinkTo(host, ip string) error {
+	_, port, err := net.SplitHostPort(s.Address())
 	if err != nil {
-		return "", err
+		return err
+	}
+	l := &link{server: s, address: net.JoinHostPort(ip, port), full: -1, conns: make(map[*linkConn]bool)}
+	err = l.listen()
+	if err != nil {
+		return err
 	}
-	l := &link{server: s, address: socket.Addr().String(), socket: socket, full: -1, conns: make(map[*linkConn]bool)}
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.links[host] = l
-	s.mu.Unlock()
-	s.workers.Go(func() { l.accept(socket) })
-	return l.address, nil
+	return nil
 }
 
 // SetCut interrupts the path of a host that has a link, or restores it with CutNone.
--- a/internal/lab/standin/site.go
+++ b/internal/lab/standin/site.go
@@ -32,6 +32,8 @@
 	// siteBurst is the number of hedges and retries that all hosts of a site together may
 	// send beyond the fraction set by extra.ratio.
 	siteBurst = 50
+	// linksPerNetwork is the number of addresses that LinkIP takes from each /24 network.
+	linksPerNetwork = 250
 )
 
 // SiteConfig describes a site on one machine.
@@ -201,22 +203,9 @@
 	s.Put("config", "main", map[string]any{"version": version, "services": []any{}, "routes": routes})
 }
 
-// LinkAll gives a host a path of its own to each server, and returns the address of the
-// view of the store that names these paths.
-func LinkAll(store *Store, host string, servers []*Server) (string, error) {
-	links := make(map[string]string)
-	for _, server := range servers {
-		address, err := server.LinkTo(host)
-		if err != nil {
-			return "", err
-		}
-		links[server.ID] = address
-	}
-	return store.View(func(server string, registration map[string]any) {
-		if links[server] != "" {
-			registration["address"] = links[server]
-		}
-	})
+// LinkIP returns the IP address at which the servers serve only host i of a site.
+func LinkIP(i int) string {
+	return fmt.Sprintf("127.1.%d.%d", i/linksPerNetwork, i%linksPerNetwork+1)
 }
 
 // HostSettings holds the settings in which the hosts of a site on loopback differ.
@@ -231,12 +220,18 @@
 	// Burst is the number of extra attempts (hedges and retries) that all hosts together
 	// may send beyond the fraction set by extra.ratio.
 	Burst int
+	// Link is the IP address at which the host reaches the backend servers, empty for theirs.
+	Link string
 }
 
 // Write writes the settings file of a host.
 func (h HostSettings) Write(path string) error {
+	translate := make(map[string]string)
+	if h.Link != "" {
+		translate["127.0.0.1"] = h.Link
+	}
 	data, err := json.MarshalIndent(map[string]any{
-		"name": h.Name, "domain": h.Domain, "capacity": 1,
+		"name": h.Name, "translate": translate, "domain": h.Domain, "capacity": 1,
 		"listen": map[string]any{"callers": loopback(h.Port), "readiness": loopback(h.Port + 1), "control": loopback(h.Port + 2), "metrics": loopback(h.Port + 3)},
 		"seeds":  []string{loopback(h.Seed)}, "store": h.Store, "extra": map[string]any{"ratio": 0.2, "burst": h.Burst, "window": "10s"},
 		"grace": "6s", "log": map[string]any{"level": "info", "format": "json", "bytesPerSecond": 65536},
@@ -251,16 +246,18 @@
 
 func (s *Site) writeSettings(cfg SiteConfig, file *SiteFile) error {
 	for i := range cfg.HostsPerDomain * len(cfg.Domains) {
-		store, err := LinkAll(s.store, hostName(i), s.servers)
-		if err != nil {
-			return err
+		for _, server := range s.servers {
+			err := server.LinkTo(hostName(i), LinkIP(i))
+			if err != nil {
+				return err
+			}
 		}
 		h := HostSettings{
 			Name: hostName(i), Domain: cfg.Domains[i%len(cfg.Domains)], Port: cfg.BasePort + i*portsPerHost,
-			Seed: cfg.BasePort + 2, Store: store, Burst: siteBurst,
+			Seed: cfg.BasePort + 2, Store: s.store.Address(), Burst: siteBurst, Link: LinkIP(i),
 		}
 		path := filepath.Join(cfg.Dir, h.Name+".host.jsonc")
-		err = h.Write(path)
+		err := h.Write(path)
 		if err != nil {
 			return err
 		}
--- a/internal/lab/standin/store.go
+++ b/internal/lab/standin/store.go
@@ -57,31 +57,6 @@
 	faultsChanged chan struct{}
 	// calls counts the calls by HTTP method and StaleWatches.
 	calls map[string]int
-	views []*http.Server
-}
-
-// viewKey is the context key of the function that changes what a view shows.
-type viewKey struct{}
-
-// View returns an address at which the store shows the registrations of servers as changed
-// by a function, such as with the addresses at which one host reaches them.
-func (s *Store) View(change func(server string, registration map[string]any)) (string, error) {
-	var sockets net.ListenConfig
-	socket, err := sockets.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	server := &http.Server{
-		ReadHeaderTimeout: headerTimeout,
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			s.server.Handler.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), viewKey{}, change)))
-		}),
-	}
-	s.mu.Lock()
-	s.views = append(s.views, server)
-	s.mu.Unlock()
-	go func() { _ = server.Serve(socket) }()
-	return socket.Addr().String(), nil
 }
 
 // NewStore starts an empty store on a free port of loopback; it panics if it can't listen.
@@ -126,9 +101,6 @@
 func (s *Store) Close() {
 	s.SetFaults(StoreFaults{})
 	_ = s.server.Close()
-	for _, view := range s.views {
-		_ = view.Close()
-	}
 }
 
 // SetFaults replaces the faults, applies RewindMillis, and closes the connections of
@@ -272,26 +244,10 @@
 	Removed bool       `json:"removed"`
 }
 
-func toWire(r *http.Request, o storer.Object) wireObject {
+func toWire(o storer.Object) wireObject {
 	var object wireObject
-	kind := ""
-	kind, object.Meta.Name, _ = strings.Cut(o.Key, "/")
+	_, object.Meta.Name, _ = strings.Cut(o.Key, "/")
 	object.Meta.Revision, object.Spec = o.Version.Revision(), o.Value
-	change, ok := r.Context().Value(viewKey{}).(func(string, map[string]any))
-	if !ok || kind != "servers" {
-		return object
-	}
-	var registration map[string]any
-	err := json.Unmarshal(o.Value, &registration)
-	if err != nil {
-		// What is no registration is shown as it is.
-		return object
-	}
-	change(object.Meta.Name, registration)
-	spec, err := json.Marshal(registration)
-	if err == nil {
-		object.Spec = spec
-	}
 	return object
 }
 
@@ -316,7 +272,7 @@
 	after := r.URL.Query().Get("after")
 	items, more := []wireObject{}, false
 	for _, object := range page.Objects {
-		item := toWire(r, object)
+		item := toWire(object)
 		if item.Meta.Name <= after {
 			continue
 		}
@@ -357,12 +313,12 @@
 	}
 	events := []wireEvent{}
 	for _, object := range page.Objects {
-		event := wireEvent{Object: toWire(r, object), Removed: object.Deleted}
+		event := wireEvent{Object: toWire(object), Removed: object.Deleted}
 		if object.Deleted {
 			// The event of a removal carries the object as it was before, with its old
 			// revision.
 			previous, _ := s.state.Previous(object.Key)
-			event.Object = toWire(r, previous)
+			event.Object = toWire(previous)
 		}
 		events = append(events, event)
 	}
@@ -404,7 +360,7 @@
 		s.fail(w, r, err)
 		return
 	}
-	writeJSON(w, toWire(r, object))
+	writeJSON(w, toWire(object))
 }
 
 func (s *Store) serveWrite(w http.ResponseWriter, r *http.Request) {
@@ -435,7 +391,7 @@
 		s.fail(w, r, err)
 		return
 	}
-	writeJSON(w, toWire(r, object))
+	writeJSON(w, toWire(object))
 }
 
 func (s *Store) serveDelete(w http.ResponseWriter, r *http.Request) {
@@ -455,7 +411,7 @@
 		s.fail(w, r, err)
 		return
 	}
-	writeJSON(w, toWire(r, current))
+	writeJSON(w, toWire(current))
 }
 
 // fail writes the status of a failed call, or closes the connection if the call has no
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -74,6 +74,7 @@
 	TokensMissed         Event = 542
 	ServersLost          Event = 543
 	ServersRegained      Event = 544
+	RequestRelayed       Event = 545
 	LinesDropped         Event = 550
 	LibraryLogged        Event = 551
 )
@@ -139,6 +140,7 @@
 	{TokensMissed, "tokensMissed", "No host has answered an ask for a share of the limits of backend servers; this host uses a part of its equal share."},
 	{ServersLost, "serversLost", "No backend server of a failure domain accepts a connection from this host or has answered it lately; isolated if that holds for all failure domains."},
 	{ServersRegained, "serversRegained", "Backend servers of the failure domain can be reached again."},
+	{RequestRelayed, "requestRelayed", "A request, or the parts of it whose servers this host can't reach, was sent through a peer."},
 	{LinesDropped, "linesDropped", "Log lines were dropped to limit the log volume."},
 	{LibraryLogged, "libraryNoted", "A library wrote a log line, such as net/http about a connection with bytes that belong to no request."},
 }
--- a/pkg/coordination/assessor/assessor.go
+++ b/pkg/coordination/assessor/assessor.go
@@ -57,6 +57,10 @@
 	// isolatedAt when such a probe last reached none of them.
 	probedAt   time.Time
 	isolatedAt time.Time
+	// noServers is set while no backend server can be reached, peersServe while peers are
+	// known to serve requests for this host.
+	noServers  bool
+	peersServe bool
 }
 
 // New returns an assessor of a host that is ready.
@@ -89,6 +93,24 @@
 	}
 }
 
+// SetIsolated records whether no backend server can be reached.
+func (a *Assessor) SetIsolated(isolated bool) {
+	a.noServers = isolated
+	a.peersServe = a.peersServe && isolated
+}
+
+// RelayEnded records a request that was sent through a peer: whether the peer served it, or no
+// peer can.
+func (a *Assessor) RelayEnded(served, unserved bool) {
+	a.peersServe = (a.peersServe || served) && !unserved
+}
+
+// Diverts reports whether the host asks the balancer for no callers since other hosts reach
+// the backend servers and this one doesn't.
+func (a *Assessor) Diverts() bool {
+	return a.noServers && a.peersServe
+}
+
 // ShouldProbe reports whether hosts of other failure domains should be probed now, because
 // this host may be partitioned or is not ready, or because some other failure domain
 // is unreachable.
@@ -139,9 +161,12 @@
 		}
 		return false
 	}
+	if a.Diverts() {
+		return false
+	}
 	if a.storeLostSince.IsZero() {
-		// A host that reaches the store is not partitioned: the backend servers are
-		// unavailable to all hosts, so that other hosts would serve callers no better.
+		// A host that reaches the store is not partitioned: unless peers reach the backend
+		// servers, other hosts would serve callers no better.
 		return true
 	}
 	if !a.maybePartitioned(now) {
--- a/pkg/coordination/delegator/delegator.go
+++ b/pkg/coordination/delegator/delegator.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -48,11 +49,13 @@
 	Link float64
 	// Registered is the version of the host's registration in the store.
 	Registered storer.Version
+	// Relays means that the host keeps to the limits that a relayed request states.
+	Relays bool
 }
 
-// subRequestRate returns the number of sub-requests per second that the host can
+// SubRequestRate returns the number of sub-requests per second that the host can
 // gather, limited by its processor or its link.
-func (h Host) subRequestRate() float64 {
+func (h Host) SubRequestRate() float64 {
 	rate := h.Capacity / subRequestCPUTime.Seconds()
 	if h.Link > 0 {
 		rate = min(rate, h.Link/subRequestMegabits)
@@ -67,8 +70,10 @@
 	// Gatherers are the gathering hosts of the failure domain of this host, in the
 	// order in which it delegates queries to them; empty if Direct is set.
 	Gatherers []Host
-	// Reserves gather queries while no gathering host is available.
+	// Reserves gather queries while no gathering host is available, and Remote, the gathering
+	// hosts of the other failure domains, while no reserve is.
 	Reserves []Host
+	Remote   []Host
 	// ExtraShare is the fraction of the hedges and retries of all hosts to a shard that
 	// this host may send, 0 for a host that scatters queries only if no gathering
 	// host or reserve is available.
@@ -89,9 +94,48 @@
 	}
 	plan.Gatherers = preferenceOrder(self, gatherers)
 	plan.Reserves = preferenceOrder(self, slices.DeleteFunc(reserves, self.same))
+	plan.Remote = preferenceOrder(self, remoteGatherers(self, hosts, connections))
 	return plan
 }
 
+// remoteGatherers returns the gathering hosts of the other failure domains.
+func remoteGatherers(self Host, hosts []Host, connections int) []Host {
+	var remote []Host
+	for _, domain := range domainsOf(hosts) {
+		if domain != self.Domain {
+			gatherers, _ := gathering(domain, hosts, connections)
+			remote = append(remote, gatherers...)
+		}
+	}
+	return remote
+}
+
+// domainsOf returns the failure domains of some hosts in alphabetical order.
+func domainsOf(hosts []Host) []string {
+	domains := make(map[string]bool)
+	for _, host := range hosts {
+		domains[host.Domain] = true
+	}
+	return slices.Sorted(maps.Keys(domains))
+}
+
+// RelayPeers returns the hosts through which self may send a request whose servers it can't
+// reach, in tiers: a later one is used while no host of those before is available. Each
+// backend server accepts the given number of connections, as in New; sharded requests go to
+// hosts that gather queries.
+func RelayPeers(self Host, hosts []Host, connections int, sharded bool) [][]Host {
+	if !sharded || allFanOut(hosts, connections) {
+		return [][]Host{slices.DeleteFunc(slices.Clone(hosts), self.same)}
+	}
+	var first, second []Host
+	for _, domain := range domainsOf(hosts) {
+		gatherers, reserves := gathering(domain, hosts, connections)
+		first = append(first, gatherers...)
+		second = append(second, reserves...)
+	}
+	return [][]Host{slices.DeleteFunc(first, self.same), slices.DeleteFunc(second, self.same)}
+}
+
 // extraShare returns the fraction of all hedges and retries to shards that a host may
 // send. Gathering hosts get most of them, reserves the rest.
 func extraShare(self Host, hosts []Host, connections int) float64 {
@@ -148,7 +192,7 @@
 	}
 	n := min(gatherersPerDomain(hosts, connections), len(inDomain))
 	fast := 1
-	for fast < n && inDomain[fast].subRequestRate()*throughputRatioMax >= inDomain[0].subRequestRate() {
+	for fast < n && inDomain[fast].SubRequestRate()*throughputRatioMax >= inDomain[0].SubRequestRate() {
 		fast++
 	}
 	return inDomain[:fast], slices.Clone(inDomain[fast:min(fast+n, len(inDomain))])
@@ -184,7 +228,7 @@
 		}
 	}
 	slices.SortFunc(inDomain, func(a, b Host) int {
-		return cmp.Or(cmp.Compare(b.subRequestRate(), a.subRequestRate()), cmp.Compare(tieBreaker(a), tieBreaker(b)))
+		return cmp.Or(cmp.Compare(b.SubRequestRate(), a.SubRequestRate()), cmp.Compare(tieBreaker(a), tieBreaker(b)))
 	})
 	return inDomain
 }
@@ -211,5 +255,5 @@
 func rendezvousWeight(self, other Host) float64 {
 	// Uniform in the open interval (0, 1), so that the logarithm is finite and not 0.
 	hash := (float64(xxhash.Sum64String(self.Name+"/"+other.Name)>>11) + 0.5) / (1 << 53)
-	return -other.subRequestRate() / math.Log(hash)
+	return -other.SubRequestRate() / math.Log(hash)
 }
--- a/pkg/coordination/delegator/delegator_test.go
+++ b/pkg/coordination/delegator/delegator_test.go
@@ -127,7 +127,7 @@
 			is.Equal(len(gatherers), site.gatherers)
 			is.Equal(len(reserves), site.reserves)
 			for _, host := range gatherers {
-				is.True(host.subRequestRate()*throughputRatioMax >= gatherers[0].subRequestRate())
+				is.True(host.SubRequestRate()*throughputRatioMax >= gatherers[0].SubRequestRate())
 			}
 		})
 	}
--- a/pkg/coordination/placer/placer.go
+++ b/pkg/coordination/placer/placer.go
@@ -120,6 +120,8 @@
 	Failed
 	// ConnectionRefused means that no process listens at the server's address.
 	ConnectionRefused
+	// Unconnected means that no connection to the server could be opened in time.
+	Unconnected
 	// TimedOut means that the attempt timed out, or was canceled when it was overdue.
 	TimedOut
 	// WrongServer means that another server answered at the address.
@@ -167,6 +169,8 @@
 	failureRate         float64
 	failedAt            time.Time
 	consecutiveFailures int
+	// unconnected is set while the last attempts failed because no connection could be opened.
+	unconnected bool
 	// Until suspendedUntil the server gets requests only if no other server is
 	// available. suspension is the length of the last suspension after failed requests;
 	// it doubles with each further failure, up to suspensionMax.
@@ -194,6 +198,9 @@
 	unansweredSince time.Time
 	// probedAt is when the last probe was sent to the unreachable domain.
 	probedAt time.Time
+	// cut is set while it is known that none of the domain's servers can be reached. They get
+	// no probes then.
+	cut bool
 }
 
 // Placer chooses backend servers from the observations of all of them.
@@ -265,6 +272,10 @@
 	// Unavailable means that the server is suspended or its failure domain unreachable,
 	// and that no probe is due.
 	Unavailable bool
+	// NoPath means that it is unavailable because this host can't open connections to it,
+	// so that another host may reach it. Cut means that this holds for its failure domain.
+	NoPath bool
+	Cut    bool
 	// Suspect means that the server was slow for at least SuspectAfter by its last
 	// observations, which have expired: only a probe can show whether it has recovered.
 	Suspect bool
@@ -298,9 +309,9 @@
 			Slowdown:     max(p.slowdown(now, state), 1),
 			QueuePerSlot: p.expectedQueue(now, state) / slots(candidate),
 			cost:         p.cost(now, candidate, state, typical),
-			Unavailable:  p.suspended(now, state) || p.avoidDomain(now, state),
 			Suspect:      p.suspect(now, state),
 		}
+		p.setAvailability(now, state, &choice)
 		choice.OverloadProne = choice.QueuePerSlot >= 1 && !state.pausedUntil.IsZero() && now.Sub(state.pausedUntil) < p.cfg.OverloadMaxAge
 		if choice.Suspect && !suspects {
 			continue
@@ -312,6 +323,45 @@
 	return best, found
 }
 
+// setAvailability sets whether the server of a choice is available, and why it isn't.
+func (p *Placer) setAvailability(now time.Time, state *serverState, c *Choice) {
+	suspended, avoided := p.suspended(now, state), p.avoidDomain(now, state)
+	c.Cut = p.domain(state.domain).cut
+	c.Unavailable = suspended || avoided || c.Cut
+	c.NoPath = c.Cut || avoided || (suspended && state.unconnected)
+}
+
+// HasNoPath reports whether this host can't open connections to some of the servers.
+func (p *Placer) HasNoPath(now time.Time, servers []*lister.Server) bool {
+	return slices.ContainsFunc(servers, func(server *lister.Server) bool {
+		state := p.server(server)
+		return state.unconnected || p.domain(state.domain).cut || p.avoidDomain(now, state)
+	})
+}
+
+// SetReachable records whether the servers of a failure domain can be reached. Once they
+// can be again, failures to connect to them no longer count.
+func (p *Placer) SetReachable(domain string, reachable bool) {
+	d := p.domain(domain)
+	d.cut = !reachable
+	if !reachable {
+		return
+	}
+	d.unanswered = 0
+	for _, state := range p.servers {
+		if state.domain == domain && state.unconnected {
+			state.unconnected, state.consecutiveFailures, state.suspension, state.failureRate = false, 0, 0, 0
+		}
+	}
+}
+
+// Cut reports whether it is known that none of the servers of a failure domain can be
+// reached.
+func (p *Placer) Cut(domain string) bool {
+	d := p.domains[domain]
+	return d != nil && d.cut
+}
+
 // before reports whether c is the better choice: available servers come first, then
 // those not prone to overload, then those of lower cost.
 func (c Choice) before(other Choice) bool {
@@ -495,6 +545,13 @@
 		p.domain(state.domain).unanswered = 0
 	}
 	switch result.Outcome {
+	case Answered, Rejected, WrongServer:
+		state.unconnected = false
+	case ConnectionRefused, Unconnected:
+		state.unconnected = true
+	case Failed, TimedOut, Canceled:
+	}
+	switch result.Outcome {
 	case Answered:
 		p.answered(now, state, result)
 	case Rejected:
@@ -507,7 +564,7 @@
 		case result.Load.Waiting == 0:
 			state.raiseFailureRate(now)
 		}
-	case Failed:
+	case Failed, Unconnected:
 		p.recordFailure(now, state)
 	case ConnectionRefused:
 		p.suspendNotListening(now, state)
--- a/pkg/coordination/scatterer/limits.go
+++ b/pkg/coordination/scatterer/limits.go
@@ -187,7 +187,7 @@
 func (m *Machine) mayAsk(now time.Time, r *request, choices []placer.Choice) bool {
 	may := false
 	for i, choice := range choices {
-		if choice.Server != nil {
+		if choice.Server != nil || r.subRequests[i].relayed {
 			continue
 		}
 		for _, server := range m.directory.Servers(r.subRequests[i].service) {
--- a/pkg/coordination/scatterer/reach.go
+++ b/pkg/coordination/scatterer/reach.go
@@ -24,8 +24,21 @@
 	}
 }
 
-func (m *Machine) reachChanged(change detector.Change, changed bool) {
-	if changed {
-		m.actions = append(m.actions, &ReachChanged{change})
+// reachChanged applies a change of the reachability of a failure domain. If it can no longer
+// be reached, requests in flight there are sent through peers.
+func (m *Machine) reachChanged(now time.Time, change detector.Change, changed bool) {
+	if !changed {
+		return
+	}
+	m.placer.SetReachable(change.Domain, change.Reachable)
+	m.actions = append(m.actions, &ReachChanged{change})
+	if change.Reachable {
+		return
+	}
+	for _, r := range m.requests {
+		if r.waiting == nil && m.mayRelay(r) {
+			r.rescue = true
+			m.scheduleRelay(now, r, rescueDelay)
+		}
 	}
 }
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -83,6 +83,10 @@
 	code classifier.Code
 	// done means that the sub-request is answered or has failed for good.
 	done bool
+	// relayed means that it is sent through a peer first, awaitsRelay that it is to be sent
+	// through one since no server can be reached.
+	relayed     bool
+	awaitsRelay bool
 }
 
 // request is a request without an answer yet.
@@ -101,6 +105,16 @@
 	// unconfirmed is set for a slice until the host that sent it confirms that it waits for
 	// the answer. Until then, at most one server may run each sub-request.
 	unconfirmed bool
+	// forwarded means that another host has sent the request.
+	forwarded bool
+	// maxAttempts is how many servers may run each sub-request.
+	maxAttempts int
+	// relayAt is when the sub-requests that await a relay are sent through a peer, zero if
+	// there are none. With rescue, those follow whose servers have become unreachable.
+	relayAt time.Time
+	rescue  bool
+	// retryAfter is when a peer expects to be able to serve the request.
+	retryAfter time.Duration
 	// refusal is the result code of a request that only waits for its attempts to end.
 	refusal classifier.Code
 	// waiting is set while the request waits for tokens, before its first attempt.
@@ -127,6 +141,7 @@
 	currentWeights map[string]float64
 	// probed is when a request was last sent as a probe.
 	probed time.Time
+	relays relayGate
 }
 
 // routeKey identifies a route across changes of the configuration.
@@ -147,6 +162,8 @@
 	requests map[uint64]*request
 	attempts map[uint64]*attempt
 	routes   map[routeKey]*routeStats
+	// relays has the gates of the relays in flight by their first attempt.
+	relays map[uint64]*relayGate
 	// budgets has the budget of hedges and retries of each service.
 	budgets map[string]*budget
 	// extraDenied counts the hedges and retries that a budget did not allow.
@@ -169,6 +186,7 @@
 		requests:  make(map[uint64]*request),
 		attempts:  make(map[uint64]*attempt),
 		routes:    make(map[routeKey]*routeStats),
+		relays:    make(map[uint64]*relayGate),
 		budgets:   make(map[string]*budget),
 	}
 }
@@ -258,6 +276,8 @@
 			r = cmp.Or(m.handleAttemptEnded(now, end), r)
 		}
 		m.finishOrWait(now, r)
+	case *RelayEnded:
+		m.handleRelayEnded(now, e)
 	case *TokensAsked:
 		m.resumeAll(now)
 	case *Abandoned:
@@ -267,7 +287,7 @@
 		}
 	case *ProbeEnded:
 		change, changed := m.detector.ProbeEnded(now, e.Domain, e.Result)
-		m.reachChanged(change, changed)
+		m.reachChanged(now, change, changed)
 	case *TimerFired:
 		m.handleTimerFired(now)
 		m.probePaths(now)
@@ -284,6 +304,7 @@
 // begin sends the first attempts of a request, makes it wait for tokens, or refuses it.
 func (m *Machine) begin(now time.Time, r *request, e *Arrived) {
 	choices := m.chooseAll(now, r)
+	relayed := m.planRelay(now, r, choices)
 	var planned *slice
 	if !e.Slice && !late(r.expectedLatency(choices), r.earlyAnswerAt.Sub(now), m.cfg.SliceFactor) {
 		planned = m.planSlice(now, r, choices)
@@ -292,25 +313,19 @@
 	if limited > 0 && m.waitForTokens(now, r, e, choices) {
 		return
 	}
-	withServer, usable := 0, 0
+	withServer, usable := relayed, relayed
 	for _, choice := range choices {
-		if choice.Server == nil {
-			continue
-		}
-		withServer++
-		if !choice.Unavailable {
+		switch {
+		case choice.Server == nil:
+		case !choice.Unavailable:
 			usable++
+			withServer++
+		case !choice.Cut:
+			withServer++
 		}
 	}
 	expected, left := r.expectedLatency(choices), r.earlyAnswerAt.Sub(now)
-	for i := range r.subRequests {
-		// Each sub-request adds to the budget of its service, also if the request is then
-		// refused; those of a slice are counted by the gathering host.
-		b := m.budget(now, r.subRequests[i].service, e.BudgetShare)
-		if !planned.contains(i) {
-			b.Earn(1)
-		}
-	}
+	m.earnExtra(now, r, e, planned)
 	// If too few sub-requests have an available server, the request is sent only as a probe,
 	// which shows whether unavailable servers have recovered. A probe needs servers too, even
 	// if unavailable ones.
@@ -334,6 +349,18 @@
 	m.finishOrWait(now, r)
 }
 
+// earnExtra adds the sub-requests to the budgets of their services, also if the request is
+// then refused; those of a slice or relay are counted by the other host, and those of a
+// repeated request have been counted by the host that sent it.
+func (m *Machine) earnExtra(now time.Time, r *request, e *Arrived, planned *slice) {
+	for i := range r.subRequests {
+		b := m.budget(now, r.subRequests[i].service, e.BudgetShare)
+		if !planned.contains(i) && !r.subRequests[i].relayed && !e.Repeat {
+			b.Earn(1)
+		}
+	}
+}
+
 // chooseAll chooses a server for each sub-request. The latencies of many slow servers may
 // become too old to count at the same time. A query that probed all these servers could
 // miss more shards than its answer may lack, so it probes only a few, beginning at a
@@ -360,8 +387,11 @@
 func (m *Machine) sendAll(now time.Time, r *request, choices []placer.Choice, planned *slice) {
 	for i := range r.subRequests {
 		switch {
+		case r.subRequests[i].relayed:
 		case choices[i].Server == nil:
 			m.markDone(r, &r.subRequests[i], m.noChoiceCode(now, &r.subRequests[i]))
+		case choices[i].Cut:
+			m.markDone(r, &r.subRequests[i], classifier.ServerUnreachable)
 		case !planned.contains(i):
 			m.send(now, r, i, choices[i], ReasonFirst)
 		}
@@ -369,14 +399,15 @@
 	if planned != nil {
 		m.sendSlice(now, r, planned)
 	}
+	m.sendPlannedRelay(now, r)
 }
 
 // maxRuns returns how many servers may run each sub-request.
 func (r *request) maxRuns() int {
 	if r.unconfirmed {
-		return min(1, r.route.Attempts)
+		return min(1, r.maxAttempts)
 	}
-	return r.route.Attempts
+	return r.maxAttempts
 }
 
 // needed returns how many sub-requests must be answered.
@@ -425,7 +456,10 @@
 
 func (m *Machine) newRequest(now time.Time, e *Arrived) *request {
 	route := e.Route
-	r := &request{id: e.Request, route: route, arrived: now, coverage: 1, stats: m.routeStats(route), unconfirmed: e.Unconfirmed}
+	r := &request{id: e.Request, route: route, arrived: now, coverage: 1, stats: m.routeStats(route), unconfirmed: e.Unconfirmed, forwarded: e.Forwarded, maxAttempts: route.Attempts}
+	if e.MaxAttempts > 0 {
+		r.maxAttempts = min(e.MaxAttempts, route.Attempts)
+	}
 	r.deadline = now.Add(min(e.CallerTimeLeft-m.margin(e.CallerTimeLeft), route.Timeout))
 	r.hedgeAt = now.Add(time.Duration(m.cfg.HedgeFraction * float64(route.Objective)))
 	r.timer.Owner = r
@@ -567,6 +601,9 @@
 	case sub.done:
 		return nil
 	case e.Exhausted:
+		if e.FinalResponse {
+			sub.answer = a.id
+		}
 		m.markDone(r, sub, e.Code)
 	case e.Code == classifier.OK:
 		if a.server != nil {
@@ -594,6 +631,8 @@
 		return placer.Canceled
 	case classifier.DeadlineExceeded, classifier.NotSent:
 		return placer.TimedOut
+	case classifier.ServerUnreachable:
+		return placer.Unconnected
 	default:
 		return placer.Failed
 	}
@@ -614,7 +653,8 @@
 	}
 	result.Latency, result.TypicalLatency = now.Sub(a.sent), time.Duration(a.request.stats.typicalLatency)
 	m.placer.Ended(now, a.server.ID, a.sent, result)
-	m.reachChanged(m.detector.Ended(now, a.server, evidence))
+	change, changed := m.detector.Ended(now, a.server, evidence)
+	m.reachChanged(now, change, changed)
 }
 
 // acceptAnswer finishes a sub-request with the answer of an attempt and cancels the
@@ -668,11 +708,14 @@
 func (m *Machine) retry(now time.Time, r *request, i int, e *AttemptEnded) classifier.Code {
 	sub := &r.subRequests[i]
 	mayRetry := m.cfg.Retries && (r.route.Idempotent || e.Code.NotRun())
-	if !mayRetry || sub.possibleRuns >= r.maxRuns() || len(sub.sentTo) >= r.route.Attempts+notRunAllowance || !now.Before(r.deadline) {
+	if !mayRetry || sub.possibleRuns >= r.maxRuns() || !now.Before(r.deadline) {
 		return e.Code
 	}
 	choice, ok := m.preferNonSuspect(now, r, sub, m.withTokens(now, sub.service, extraReserve))
-	if !ok || choice.Unavailable {
+	if !ok || choice.Unavailable || len(sub.sentTo) >= r.route.Attempts+notRunAllowance {
+		if m.awaitRelay(now, r, sub, e.Code) {
+			return classifier.OK
+		}
 		return e.Code
 	}
 	// A retry is charged to the budget only if an earlier attempt of the sub-request may have
@@ -716,6 +759,9 @@
 	if r.earlyAnswerAt.After(now) && r.earlyAnswerAt.Before(next) {
 		next = r.earlyAnswerAt
 	}
+	if !r.relayAt.IsZero() && r.relayAt.Before(next) {
+		next = r.relayAt
+	}
 	m.timers.Set(&r.timer, next)
 }
 
@@ -731,6 +777,7 @@
 			m.resume(now, r)
 			continue
 		}
+		m.relayIfDue(now, r)
 		m.hedgeIfDue(now, r)
 		m.finishOrWait(now, r)
 	}
@@ -871,7 +918,7 @@
 		waits[i] = m.expectedWait(now, r, &r.subRequests[i])
 	}
 	slices.Sort(waits)
-	return max(waits[max(r.needed(), 1)-1], minRetryAfter)
+	return max(waits[max(r.needed(), 1)-1], minRetryAfter, r.retryAfter, r.stats.relays.reopensIn(now))
 }
 
 // expectedWait returns the expected time to the answer of a sub-request, at most
--- a/pkg/coordination/scatterer/slices.go
+++ b/pkg/coordination/scatterer/slices.go
@@ -51,7 +51,7 @@
 		switch {
 		case m.inOtherDomain(choice) && !m.limits.Limited(incarnation(choice.Server)) && (choice.Server.Domain == best || m.domainCanServe(now, r, i, best)):
 			s.subRequests = append(s.subRequests, i)
-		case choice.Server != nil && !choice.Unavailable:
+		case r.subRequests[i].relayed, choice.Server != nil && !choice.Unavailable:
 			s.otherAnswers++
 		}
 	}
--- a/pkg/coordination/scatterer/types.go
+++ b/pkg/coordination/scatterer/types.go
@@ -30,6 +30,8 @@
 	// LateFactor refuses an idempotent request whose expected latency is more than this
 	// multiple of the time left to its latency objective; 0 refuses none.
 	LateFactor float64
+	// Relays lets requests whose servers can't be reached be sent through a peer.
+	Relays bool
 	// Hosts is the number of hosts that are assumed to share the limits of servers until
 	// SetHosts is called.
 	Hosts int
@@ -79,6 +81,15 @@
 	// Unconfirmed means that the host that sent the slice may still send the sub-requests
 	// itself: until a Confirmed event each may run at one server only.
 	Unconfirmed bool
+	// Forwarded means that another host has sent the request, so that it isn't sent through
+	// a peer again.
+	Forwarded bool
+	// MaxAttempts is the number of servers that may still run each sub-request, 0 for the
+	// attempts of the route.
+	MaxAttempts int
+	// Repeat means that the other host has counted the request for the budget of extra
+	// attempts.
+	Repeat bool
 }
 
 // Confirmed means that the host that sent a slice waits for its answer.
@@ -119,6 +130,30 @@
 	Ends []*AttemptEnded
 }
 
+// RelayOutcome is what the end of a relay tells about the peers of this host.
+type RelayOutcome int
+
+const (
+	// RelayFailed means that a peer took the request and failed to serve it.
+	RelayFailed RelayOutcome = iota
+	// RelayServed means that a peer got the answers.
+	RelayServed
+	// RelayUnserved means that no peer took the request, or that none reaches the servers.
+	RelayUnserved
+	// RelayCanceled means that this host canceled the relay.
+	RelayCanceled
+)
+
+// RelayEnded reports the end of a relay, with one attempt for each of its sub-requests.
+type RelayEnded struct {
+	Request uint64
+	Ends    []*AttemptEnded
+	Outcome RelayOutcome
+	// RetryAfter is when the peer expects to be able to serve the request, 0 if it doesn't
+	// tell.
+	RetryAfter time.Duration
+}
+
 // TokensAsked means that an ask for tokens has been answered, or will not be.
 type TokensAsked struct{}
 
@@ -134,6 +169,7 @@
 func (*Confirmed) scattererEvent()    {}
 func (*AttemptEnded) scattererEvent() {}
 func (*SliceEnded) scattererEvent()   {}
+func (*RelayEnded) scattererEvent()   {}
 func (*Abandoned) scattererEvent()    {}
 func (*TokensAsked) scattererEvent()  {}
 func (*TimerFired) scattererEvent()   {}
@@ -180,6 +216,25 @@
 	Deadline time.Time
 }
 
+// SendRelay sends sub-requests whose servers this host can't reach through a peer.
+type SendRelay struct {
+	Request uint64
+	// Attempts has one attempt for each of SubRequests, in the same order.
+	Attempts    []uint64
+	SubRequests []int
+	// Whole means that the peer serves the whole request, so that its response is the answer.
+	Whole bool
+	// Needed is, for a part of a request, how many of its sub-requests must be answered.
+	Needed int
+	// MaxAttempts is the number of servers that may still run each sub-request.
+	MaxAttempts int
+	// Repeat means that this host has counted the sub-requests for the budget of extra attempts.
+	Repeat bool
+	// ObjectiveSpent is how much of the latency objective is over.
+	ObjectiveSpent time.Duration
+	Deadline       time.Time
+}
+
 // AskTokens asks for tokens on behalf of a request that waits for a TokensAsked event, at
 // most askWait.
 type AskTokens struct {
@@ -237,6 +292,7 @@
 }
 
 func (*SendSlice) scattererAction()    {}
+func (*SendRelay) scattererAction()    {}
 func (*AskTokens) scattererAction()    {}
 func (*Send) scattererAction()         {}
 func (*ProbePath) scattererAction()    {}
--- a/pkg/state/matcher/matcher.go
+++ b/pkg/state/matcher/matcher.go
@@ -61,6 +61,15 @@
 	Target   Target
 }
 
+// SubRequests returns the number of sub-requests of a request on the route.
+func (r *Route) SubRequests() int {
+	sharded, ok := r.Target.(*Sharded)
+	if ok {
+		return len(sharded.Services)
+	}
+	return 1
+}
+
 // Service holds the settings for the backend servers of a service.
 type Service struct {
 	Name string
