pkg/coordination/scatterer: a part that goes through a peer has no attempt of this host any more

Cause: parts in flight went through a peer as soon as their failure domain was lost, while their attempts on open connections went on. Those live on where only new ones are refused. The peer's rows come merged, so that one part can't be left out when its server answers after all.

--- a/pkg/coordination/scatterer/reach.go
+++ b/pkg/coordination/scatterer/reach.go
@@ -24,15 +24,15 @@
 	}
 }
 
-// reachChanged applies a change of the reachability of a failure domain. If it can no longer
-// be reached, requests in flight there are sent through peers.
+// reachChanged applies a change of the reachability of a failure domain. If it no longer
+// responds, requests in flight there are sent through peers.
 func (m *Machine) reachChanged(now time.Time, change detector.Change, changed bool) {
 	if !changed {
 		return
 	}
 	m.placer.SetReachable(change.Domain, change.Reachable)
 	m.actions = append(m.actions, &ReachChanged{change})
-	if change.Reachable {
+	if change.Reachable || change.NewRefused {
 		return
 	}
 	for _, r := range m.requests {
--- a/pkg/coordination/scatterer/relays.go
+++ b/pkg/coordination/scatterer/relays.go
@@ -200,6 +200,9 @@
 			sub.awaitsRelay = false
 			m.markDone(r, sub, sub.code)
 		case rescue && allowed && m.mayRescue(r, sub) && m.spendExtra(now, sub.service):
+			// A part of a peer's answer can't be left out if the server answers after all.
+			m.cancelOutstanding(now, r, sub)
+			r.mayHaveRun = true
 			subRequests = append(subRequests, i)
 		}
 	}
