pkg/coordination/detector: doubt after 40 ms, and silent failure domains are probed together

Doubt after 40 in place of 60 ms, probes of 40 in place of 60 ms, and, where four attempts and more are outstanding, probes of all domains that have been silent as long, in place of one after the other. Dials of probes have the time limit of the detector.

--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -124,7 +124,7 @@
 	up := make([]bool, len(seeds))
 	var dials sync.WaitGroup
 	for i, seed := range seeds {
-		dials.Go(func() { up[i] = dialProbe(ctx, seed) == nil })
+		dials.Go(func() { up[i] = dialProbe(ctx, seed, probeDialTimeout) == nil })
 	}
 	dials.Wait()
 	for i, seed := range seeds {
@@ -135,9 +135,9 @@
 	}
 }
 
-// dialProbe opens and closes a connection to a host, to check that it is alive.
-func dialProbe(ctx context.Context, address string) error {
-	dialer := net.Dialer{Timeout: probeDialTimeout}
+// dialProbe opens and closes a connection, to check that what listens there can be reached.
+func dialProbe(ctx context.Context, address string, timeout time.Duration) error {
+	dialer := net.Dialer{Timeout: timeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
@@ -161,7 +161,7 @@
 		var dials sync.WaitGroup
 		for _, address := range addresses {
 			dials.Go(func() {
-				err := dialProbe(ctx, address)
+				err := dialProbe(ctx, address, probeDialTimeout)
 				// A refused connection shows that the host is reachable as well.
 				if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
 					reached.Store(true)
--- a/internal/forwarder/reach.go
+++ b/internal/forwarder/reach.go
@@ -39,20 +39,20 @@
 		addresses[i] = e.client.reachedAt(server.Address)
 	}
 	e.exchanges.Go(func() {
-		e.push(pathProbed{domain: a.Domain, result: probeServers(e.ctx, addresses)})
+		e.push(pathProbed{domain: a.Domain, result: probeServers(e.ctx, addresses, a.Timeout)})
 	})
 }
 
 // probeServers opens and closes connections to some addresses. It returns as soon as one
 // accepts.
-func probeServers(ctx context.Context, addresses []string) detector.ProbeResult {
+func probeServers(ctx context.Context, addresses []string, timeout time.Duration) detector.ProbeResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var connected, silent atomic.Bool
 	var dials sync.WaitGroup
 	for _, address := range addresses {
 		dials.Go(func() {
-			err := dialProbe(ctx, address)
+			err := dialProbe(ctx, address, timeout)
 			switch {
 			case err == nil:
 				connected.Store(true)
--- a/pkg/coordination/detector/detector.go
+++ b/pkg/coordination/detector/detector.go
@@ -24,17 +24,20 @@
 	ProbeTimeout time.Duration
 	// Targets is the number of servers of a failure domain that are probed simultaneously.
 	Targets int
+	// BroadDoubt is the number of outstanding attempts without any response from which the
+	// other failure domains that have been silent too are probed at the same time.
+	BroadDoubt int
 	// RampTime is how long after the end of a partition some requests still avoid the
 	// servers of the failure domain, ever fewer.
 	RampTime time.Duration
 }
 
-// DefaultConfig returns settings with which a partition is noticed within some 200 ms. A
+// DefaultConfig returns settings with which a partition is noticed within some 150 ms. A
 // server accepts a connection within a round trip, even while it is too slow to answer.
 func DefaultConfig() Config {
 	return Config{
-		DoubtAfter: 60 * time.Millisecond, FailedServers: 3, ProbeInterval: 200 * time.Millisecond,
-		ProbeTimeout: 60 * time.Millisecond, Targets: 3, RampTime: 500 * time.Millisecond,
+		DoubtAfter: 40 * time.Millisecond, FailedServers: 3, ProbeInterval: 200 * time.Millisecond,
+		ProbeTimeout: 40 * time.Millisecond, Targets: 3, BroadDoubt: 4, RampTime: 500 * time.Millisecond,
 	}
 }
 
@@ -74,6 +77,8 @@
 type Probe struct {
 	Domain  string
 	Servers []*lister.Server
+	// Timeout is how long a server may take to accept the connection.
+	Timeout time.Duration
 }
 
 // Change is a change of the reachability of a failure domain.
@@ -242,6 +247,7 @@
 
 // Probes returns the probes that are due. ProbeEnded is to be called for each.
 func (d *Detector) Probes(now time.Time) []Probe {
+	d.spreadDoubt(now)
 	var probes []Probe
 	for name, state := range d.domains {
 		at := d.dueAt(name, state)
@@ -249,12 +255,32 @@
 			continue
 		}
 		state.probing, state.probedAt, state.requested = true, now, false
-		probes = append(probes, Probe{Domain: name, Servers: d.targets(name)})
+		probes = append(probes, Probe{Domain: name, Servers: d.targets(name), Timeout: d.cfg.ProbeTimeout})
 	}
 	slices.SortFunc(probes, func(a, b Probe) int { return cmp.Compare(a.Domain, b.Domain) })
 	return probes
 }
 
+// spreadDoubt has the failure domains probed that have not responded since many attempts were
+// sent to one that is silent.
+func (d *Detector) spreadDoubt(now time.Time) {
+	var since time.Time
+	for name, state := range d.domains {
+		at := d.dueAt(name, state)
+		broad := state.outstanding >= d.cfg.BroadDoubt && !state.unreachable && !at.IsZero() && !now.Before(at)
+		if broad && (since.IsZero() || state.waitingSince.Before(since)) {
+			since = state.waitingSince
+		}
+	}
+	if since.IsZero() {
+		return
+	}
+	for _, name := range d.directory.Domains() {
+		state := d.domain(name)
+		state.requested = state.requested || state.respondedAt.Before(since)
+	}
+}
+
 // targets returns the servers of a failure domain to probe: the one that responded last,
 // which most likely still runs, and others by turns.
 func (d *Detector) targets(domain string) []*lister.Server {
