pkg/coordination/delegator, internal/forwarder: gathering hosts that are cut off cost other hosts no queries

Change: gathering hosts of other failure domains come before reserves of half their rate and less. A host that declines tells which others reach no server, with the age of that knowledge, which holds for a second. All exchanges between hosts state how much of the latency objective is over.

The test of slow reserves fails without the first change.

--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -170,7 +170,7 @@
 	if plan.Direct {
 		return nil
 	}
-	for _, hosts := range [][]delegator.Host{plan.Gatherers, plan.Reserves, plan.Remote} {
+	for _, hosts := range plan.Tiers() {
 		host := d.chooseFastest(hosts, tried, typicalLatency)
 		if host != nil {
 			return host
@@ -227,7 +227,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	if errors.Is(err, errPeerIsolated) {
+	switch {
+	case err == nil:
+		d.peers.Learn(now, host, relayer.Accepted)
+	case errors.Is(err, errPeerIsolated):
 		d.peers.Learn(now, host, relayer.Isolated)
 	}
 	d.placer.Ended(now, host, sent, placer.Result{Outcome: outcome, Latency: now.Sub(sent), TypicalLatency: typicalLatency})
@@ -346,6 +349,7 @@
 	out.header = out.header.Clone()
 	out.header.Set(delegationHeader, strconv.FormatUint(a.version, 10))
 	out.header.Set("Expect", "100-continue")
+	out.header.Set(spentHeader, strconv.FormatInt(time.Since(a.received).Milliseconds(), 10))
 	f.cfg.Dialect.SetRemaining(out.header, time.Until(a.expires))
 	out.body = slices.Concat([]byte{proceedByte}, out.body)
 	for name, value := range headers {
@@ -376,6 +380,7 @@
 		return nil, err
 	case response.StatusCode != http.StatusMisdirectedRequest:
 	case declined == declinedIsolated:
+		f.delegate.takeIsolated(response.Header)
 		return nil, errPeerIsolated
 	case declined == declinedBusy:
 		return nil, errPeerBusy
@@ -484,6 +489,7 @@
 		return
 	case f.engine.isolated.Load():
 		f.metrics.relayAccepted(false)
+		f.delegate.addIsolated(w.Header())
 		f.decline(w, declinedIsolated)
 		return
 	case !f.Ready():
@@ -534,7 +540,7 @@
 
 // acceptFromPeer reads a request of another host, made with a version of the configuration.
 func (f *Forwarder) acceptFromPeer(w http.ResponseWriter, r *http.Request, version string, relay relayTerms) (*arrival, error) {
-	sliceIndexes, needed := r.Header.Get(sliceHeader), r.Header.Get(neededHeader)
+	sliceIndexes, needed, spent := r.Header.Get(sliceHeader), r.Header.Get(neededHeader), takeSpent(r.Header)
 	removeProceedByte(r)
 	a, failure := f.accept(w, r)
 	if failure != nil {
@@ -551,7 +557,7 @@
 	if sliceIndexes != "" {
 		err = a.restrictTo(sliceIndexes, needed, senderVersion)
 	}
-	a.objectiveSpent += relay.objectiveSpent
+	a.objectiveSpent += spent
 	return a, err
 }
 
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -72,8 +72,9 @@
 	// has sent it on.
 	delegated bool
 	relay     relayTerms
-	// expires is when the caller no longer waits.
-	expires time.Time
+	// received is when the request was received, expires when the caller no longer waits.
+	received time.Time
+	expires  time.Time
 	// draining collects the servers for reply.draining.
 	draining []*lister.Server
 }
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -82,7 +82,8 @@
 	}
 	call, err := f.cfg.Dialect.Call(r)
 	a.call = call
-	a.expires = time.Now().Add(call.Remaining)
+	a.received = time.Now()
+	a.expires = a.received.Add(call.Remaining)
 	if err != nil {
 		return a, classifier.NewFailure(classifier.InvalidRequest, "%v", err)
 	}
@@ -164,7 +165,7 @@
 
 // removeOwnHeaders removes the headers of exchanges between hosts, which callers must not set.
 func removeOwnHeaders(h http.Header) {
-	for _, name := range []string{sliceHeader, neededHeader, delegationHeader, relayHeader} {
+	for _, name := range []string{sliceHeader, neededHeader, delegationHeader, relayHeader, spentHeader} {
 		h.Del(name)
 	}
 }
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,10 +21,11 @@
 
 const (
 	// relayHeader marks a request that another host sends on since it can't reach the backend
-	// servers. It states the number of servers that may still run each sub-request, 1 if
-	// the request has been counted for the budget of extra attempts, else 0, and how many
-	// milliseconds of the latency objective are over.
+	// servers. It states the number of servers that may still run each sub-request, and 1 if
+	// the request has been counted for the budget of extra attempts, else 0.
 	relayHeader = "X-Rhubarbpost-Relay"
+	// spentHeader states how many milliseconds of the latency objective are over.
+	spentHeader = "X-Rhubarbpost-Spent"
 	// resultHeader states the result code of a relay that was not served, and the Retry-After
 	// in milliseconds.
 	resultHeader = "X-Rhubarbpost-Result"
@@ -30,6 +33,9 @@
 	declinedHeader   = "X-Rhubarbpost-Declined"
 	declinedIsolated = "isolated"
 	declinedBusy     = "busy"
+	// isolatedHeader has a line for each host that, as far as the declining one knows,
+	// reaches no backend server: the age of that knowledge in milliseconds and the name.
+	isolatedHeader = "X-Rhubarbpost-Isolated"
 	// relayReceiptTimeout is how long a peer may take to confirm the receipt of a relay,
 	// tens of round trips.
 	relayReceiptTimeout = 60 * time.Millisecond
@@ -42,10 +48,9 @@
 // relayTerms are the terms on which a host sends on a request for another one.
 type relayTerms struct {
 	// relayed is false for a request that was not sent on.
-	relayed        bool
-	maxAttempts    int
-	repeat         bool
-	objectiveSpent time.Duration
+	relayed     bool
+	maxAttempts int
+	repeat      bool
 }
 
 // String returns the value of relayHeader.
@@ -54,7 +59,7 @@
 	if t.repeat {
 		repeat = 1
 	}
-	return fmt.Sprintf("%d %d %d", t.maxAttempts, repeat, t.objectiveSpent.Milliseconds())
+	return fmt.Sprintf("%d %d", t.maxAttempts, repeat)
 }
 
 // takeRelayTerms removes relayHeader and returns the terms that it states.
@@ -65,16 +70,50 @@
 	}
 	h.Del(relayHeader)
 	var repeat int
-	var spentMillis int64
 	t := relayTerms{relayed: true}
-	_, err := fmt.Sscanf(text, "%d %d %d", &t.maxAttempts, &repeat, &spentMillis)
-	if err != nil || t.maxAttempts < 1 || spentMillis < 0 {
+	_, err := fmt.Sscanf(text, "%d %d", &t.maxAttempts, &repeat)
+	if err != nil || t.maxAttempts < 1 {
 		return t, fmt.Errorf("%s %q doesn't state the terms of a relay", relayHeader, text)
 	}
-	t.repeat, t.objectiveSpent = repeat != 0, time.Duration(spentMillis)*time.Millisecond
+	t.repeat = repeat != 0
 	return t, nil
 }
 
+// takeSpent removes spentHeader and returns how much of the latency objective is over; a host
+// of an older build doesn't tell.
+func takeSpent(h http.Header) time.Duration {
+	millis, err := strconv.ParseInt(h.Get(spentHeader), 10, 64)
+	h.Del(spentHeader)
+	if err != nil || millis < 0 {
+		return 0
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
+// addIsolated adds the hosts known to reach no backend server to the headers of an answer, so
+// that the other host doesn't have to find out by itself.
+func (d *delegate) addIsolated(h http.Header) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, age := range d.peers.Isolated(time.Now()) {
+		h.Add(isolatedHeader, fmt.Sprintf("%d %s", age.Milliseconds(), name))
+	}
+}
+
+// takeIsolated records the hosts that another one knows to reach no backend server.
+func (d *delegate) takeIsolated(h http.Header) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for _, line := range h.Values(isolatedHeader) {
+		text, name, _ := strings.Cut(line, " ")
+		millis, err := strconv.ParseInt(text, 10, 64)
+		if err == nil && millis >= 0 {
+			d.peers.Hear(now, name, time.Duration(millis)*time.Millisecond)
+		}
+	}
+}
+
 // setResult states why a relay was not served.
 func setResult(h http.Header, failure *classifier.Failure) {
 	h.Set(resultHeader, fmt.Sprintf("%d %d", failure.Code, failure.RetryAfter.Milliseconds()))
@@ -125,7 +164,7 @@
 
 // relay sends sub-requests of a request through a peer.
 func (f *Forwarder) relay(ctx context.Context, r *arrival, s *scatterer.SendRelay) relayEnd {
-	terms := relayTerms{relayed: true, maxAttempts: s.MaxAttempts, repeat: s.Repeat, objectiveSpent: r.objectiveSpent + s.ObjectiveSpent}
+	terms := relayTerms{relayed: true, maxAttempts: s.MaxAttempts, repeat: s.Repeat}
 	headers := map[string]string{relayHeader: terms.String()}
 	if !s.Whole {
 		for name, value := range sliceHeaders(s.SubRequests, s.Needed) {
--- a/pkg/coordination/delegator/delegator.go
+++ b/pkg/coordination/delegator/delegator.go
@@ -70,8 +70,8 @@
 	// Gatherers are the gathering hosts of the failure domain of this host, in the
 	// order in which it delegates queries to them; empty if Direct is set.
 	Gatherers []Host
-	// Reserves gather queries while no gathering host is available, and Remote, the gathering
-	// hosts of the other failure domains, while no reserve is.
+	// Reserves and Remote, the gathering hosts of the other failure domains, gather queries
+	// while no gathering host is available; see Tiers.
 	Reserves []Host
 	Remote   []Host
 	// ExtraShare is the fraction of the hedges and retries of all hosts to a shard that
@@ -98,6 +98,25 @@
 	return plan
 }
 
+// Tiers returns the hosts to which this host delegates queries: a later tier is used while no
+// host of those before is available. Remote hosts come before reserves that are much slower,
+// since these would take long for a query and have no room for those of a failure domain.
+func (p Plan) Tiers() [][]Host {
+	if len(p.Remote) > 0 && maxRate(p.Remote) > throughputRatioMax*maxRate(p.Reserves) {
+		return [][]Host{p.Gatherers, p.Remote, p.Reserves}
+	}
+	return [][]Host{p.Gatherers, p.Reserves, p.Remote}
+}
+
+// maxRate returns the greatest sub-request rate of some hosts, 0 if there are none.
+func maxRate(hosts []Host) float64 {
+	rate := 0.0
+	for _, host := range hosts {
+		rate = max(rate, host.SubRequestRate())
+	}
+	return rate
+}
+
 // remoteGatherers returns the gathering hosts of the other failure domains.
 func remoteGatherers(self Host, hosts []Host, connections int) []Host {
 	var remote []Host
--- a/pkg/coordination/delegator/delegator_test.go
+++ b/pkg/coordination/delegator/delegator_test.go
@@ -244,3 +244,45 @@
 		}
 	}
 }
+
+func names(hosts []Host) []string {
+	var list []string
+	for _, host := range hosts {
+		list = append(list, host.Name)
+	}
+	return list
+}
+
+// TestQueriesOfLostGatherersAreNotLeftToSlowReserves guards against small hosts that get all queries of their failure domain.
+func TestQueriesOfLostGatherersAreNotLeftToSlowReserves(t *testing.T) {
+	is := is.New(t)
+	hosts := fleet(3, 2, 20)
+	plan := New(hosts[5], hosts, 63)
+	tiers := plan.Tiers()
+	is.Equal(len(tiers), 3)
+	is.Equal(names(tiers[0]), names(plan.Gatherers))
+	is.Equal(len(tiers[1]), 4) // two in each of the others
+	for _, host := range tiers[1] {
+		is.True(host.Domain != hosts[5].Domain)
+		is.Equal(host.Capacity, 0.8)
+	}
+	is.Equal(names(tiers[2]), names(plan.Reserves))
+
+	equal := fleet(3, 30, 0)
+	plan = New(equal[29], equal, 63)
+	is.Equal(names(plan.Tiers()[1]), names(plan.Reserves)) // nearer, and as fast
+}
+
+func TestRelaysOfQueriesGoToHostsThatGather(t *testing.T) {
+	is := is.New(t)
+	hosts := fleet(3, 2, 20)
+	tiers := RelayPeers(hosts[0], hosts, 63, true)
+	is.Equal(len(tiers), 2)
+	is.Equal(len(tiers[0]), 5) // the gathering hosts but itself
+	for _, host := range tiers[1] {
+		is.True(!slices.ContainsFunc(tiers[0], host.same))
+	}
+	is.Equal(len(RelayPeers(hosts[0], hosts, 63, false)[0]), len(hosts)-1) // single requests go anywhere
+	small := site(3)
+	is.Equal(len(RelayPeers(small[0], small, 26, true)[0]), len(small)-1)
+}
--- a/pkg/coordination/relayer/relayer.go
+++ b/pkg/coordination/relayer/relayer.go
@@ -14,9 +14,12 @@
 	ownDomainWeight = 2
 	// isolatedTime, busyTime and failedTime are how long a peer is avoided that reaches no
 	// backend server itself, that has no room, or that did not respond.
-	isolatedTime = 500 * time.Millisecond
+	isolatedTime = time.Second
 	busyTime     = 200 * time.Millisecond
 	failedTime   = time.Second
+	// retryTime is how long ago an avoided peer must have been tried to be tried again while
+	// all are avoided.
+	retryTime = 200 * time.Millisecond
 )
 
 // Outcome is how an exchange with a peer has ended.
@@ -40,8 +43,17 @@
 
 type peerState struct {
 	inFlight int
-	// avoidedUntil is the time before which the peer gets no requests.
+	// avoidedUntil is the time before which the peer gets no requests, avoidedAt when the
+	// reason was observed. isolated is set if the reason is that it reaches no backend server.
 	avoidedUntil time.Time
+	avoidedAt    time.Time
+	isolated     bool
+	// acceptedAt is when the peer last accepted a request.
+	acceptedAt time.Time
+}
+
+func (s *peerState) avoid(at time.Time, length time.Duration, isolated bool) {
+	s.avoidedAt, s.avoidedUntil, s.isolated = at, at.Add(length), isolated
 }
 
 // Peers holds what this host has seen of its peers.
@@ -72,37 +84,41 @@
 }
 
 // Choose returns a host of the first tier that has one which is neither tried nor avoided,
-// at random by the rates of the hosts, and false if there is none in any tier. domain is the
-// failure domain of this host. Sent is to be called for the host chosen.
+// at random by the rates of the hosts. If all are avoided, it returns one that was last tried
+// some time ago, and false if there is none. domain is the failure domain of this host. Sent
+// is to be called for the host chosen.
 func (p *Peers) Choose(now time.Time, domain string, tiers [][]delegator.Host, tried []string) (delegator.Host, bool) {
-	for _, tier := range tiers {
-		weights := make([]float64, len(tier))
-		sum := 0.0
-		for i, host := range tier {
-			if p.Avoided(now, host.Name) || slices.Contains(tried, host.Name) {
-				continue
+	for _, usable := range []func(host string) bool{
+		func(host string) bool { return !p.Avoided(now, host) },
+		func(host string) bool { return now.Sub(p.state(host).avoidedAt) >= retryTime },
+	} {
+		for _, tier := range tiers {
+			host, ok := p.chooseFrom(domain, tier, func(host string) bool {
+				return usable(host) && !slices.Contains(tried, host)
+			})
+			if ok {
+				return host, true
 			}
-			weights[i] = p.weight(domain, host)
-			sum += weights[i]
 		}
-		if sum == 0 {
+	}
+	return delegator.Host{}, false
+}
+
+// chooseFrom returns one of the usable hosts at random by their weights.
+func (p *Peers) chooseFrom(domain string, hosts []delegator.Host, usable func(host string) bool) (chosen delegator.Host, ok bool) {
+	sum := 0.0
+	for _, host := range hosts {
+		if !usable(host.Name) {
 			continue
 		}
-		place := p.random.Float64() * sum
-		last := 0
-		for i, weight := range weights {
-			if weight == 0 {
-				continue
-			}
-			last = i
-			place -= weight
-			if place < 0 {
-				break
-			}
+		weight := p.weight(domain, host)
+		sum += weight
+		// Each host replaces those before it with the probability of its share of the sum.
+		if p.random.Float64()*sum < weight {
+			chosen, ok = host, true
 		}
-		return tier[last], true
 	}
-	return delegator.Host{}, false
+	return chosen, ok
 }
 
 // weight returns the share of requests of a host: its rate, less if it has requests of this
@@ -132,17 +148,39 @@
 	s := p.state(name)
 	switch outcome {
 	case Accepted:
-		s.avoidedUntil = time.Time{}
+		s.avoidedUntil, s.acceptedAt = time.Time{}, now
 	case Isolated:
-		s.avoidedUntil = now.Add(isolatedTime)
+		s.avoid(now, isolatedTime, true)
 	case Busy:
-		s.avoidedUntil = now.Add(busyTime)
+		s.avoid(now, busyTime, false)
 	case Unreached:
-		s.avoidedUntil = now.Add(failedTime)
+		s.avoid(now, failedTime, false)
 	case Declined, Canceled:
 	}
 }
 
+// Hear records that another host has found out, some time ago, that a host reaches no backend
+// server. What this host has observed itself since then outweighs that.
+func (p *Peers) Hear(now time.Time, name string, age time.Duration) {
+	at := now.Add(-age)
+	s := p.state(name)
+	if at.After(s.avoidedAt) && at.After(s.acceptedAt) {
+		s.avoid(at, isolatedTime, true)
+	}
+}
+
+// Isolated returns the hosts known to reach no backend server, and how long ago that was found
+// out.
+func (p *Peers) Isolated(now time.Time) map[string]time.Duration {
+	isolated := make(map[string]time.Duration)
+	for name, s := range p.peers {
+		if s.isolated && now.Before(s.avoidedUntil) {
+			isolated[name] = now.Sub(s.avoidedAt)
+		}
+	}
+	return isolated
+}
+
 // Retain drops what is known of hosts that are no longer listed.
 func (p *Peers) Retain(hosts []delegator.Host) {
 	for name, s := range p.peers {
--- a/pkg/coordination/scatterer/relays.go
+++ b/pkg/coordination/scatterer/relays.go
@@ -131,7 +131,7 @@
 func (m *Machine) sendRelay(now time.Time, r *request, subRequests []int, repeat bool) {
 	send := &SendRelay{
 		Request: r.id, SubRequests: subRequests, Whole: len(subRequests) == len(r.subRequests), MaxAttempts: r.maxRuns(),
-		Repeat: repeat, ObjectiveSpent: now.Sub(r.arrived), Deadline: r.deadline,
+		Repeat: repeat, Deadline: r.deadline,
 	}
 	others := r.answeredCount
 	for i := range r.subRequests {
--- a/pkg/coordination/scatterer/types.go
+++ b/pkg/coordination/scatterer/types.go
@@ -229,10 +229,8 @@
 	// MaxAttempts is the number of servers that may still run each sub-request.
 	MaxAttempts int
 	// Repeat means that this host has counted the sub-requests for the budget of extra attempts.
-	Repeat bool
-	// ObjectiveSpent is how much of the latency objective is over.
-	ObjectiveSpent time.Duration
-	Deadline       time.Time
+	Repeat   bool
+	Deadline time.Time
 }
 
 // AskTokens asks for tokens on behalf of a request that waits for a TokensAsked event, at
