pkg/coordination/relayer: peers that accept are preferred, and hosts keep room for bursts

Change: room is that of 150 ms, also for queries of other failure domains; a busy host leaves them to the next tier. Peers that have accepted a request in the last second come first for four fifths of the requests; up to twelve are asked within 150 ms; draws by cumulated weights, so that a choice doesn't look at all of 3,400 hosts.

--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -55,9 +55,10 @@
 	gathererFailureWindow = 10 * time.Second
 	// maxDelegationAttempts is how many gathering hosts are tried before this host
 	// scatters the query itself. Those that decline within a round trip, since they reach
-	// no backend server, are not counted; at most maxIsolatedGatherers of them are asked.
+	// no backend server or have no room, are not counted; at most maxDeclines of them are
+	// asked.
 	maxDelegationAttempts = 2
-	maxIsolatedGatherers  = 8
+	maxDeclines           = 8
 	// maxIdleConnsPerGatherer is the number of idle connections kept to each
 	// gathering host.
 	maxIdleConnsPerGatherer = 4
@@ -86,6 +87,8 @@
 	allotters delegator.Allotters
 	// plans caches the results of plan by number of connections.
 	plans map[int]delegator.Plan
+	// tiers caches the results of relayTiers.
+	tiers map[relayKind][]relayer.Tier
 }
 
 func newDelegate(cfg Config) *delegate {
@@ -93,6 +96,7 @@
 	placing.ObservationMaxAge = gathererFailureWindow
 	return &delegate{
 		plans:  make(map[int]delegator.Plan),
+		tiers:  make(map[relayKind][]relayer.Tier),
 		placer: placer.New(placing),
 		peers:  relayer.NewPeers(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		transport: &http.Transport{
@@ -114,6 +118,7 @@
 	d.allotters = delegator.NewAllotters(d.hosts)
 	d.peers.Retain(d.hosts)
 	clear(d.plans)
+	clear(d.tiers)
 	return before, len(d.hosts)
 }
 
@@ -215,7 +220,7 @@
 		outcome = placer.Canceled
 	case errors.Is(err, errNoReceipt):
 		outcome = placer.Failed
-	case errors.Is(err, errPeerIsolated):
+	case errors.Is(err, errPeerIsolated) || errors.Is(err, errPeerBusy):
 		outcome = placer.Canceled
 	case errors.Is(err, context.DeadlineExceeded):
 		outcome = placer.TimedOut
@@ -232,6 +237,8 @@
 		d.peers.Learn(now, host, relayer.Accepted)
 	case errors.Is(err, errPeerIsolated):
 		d.peers.Learn(now, host, relayer.Isolated)
+	case errors.Is(err, errPeerBusy):
+		d.peers.Learn(now, host, relayer.Busy)
 	}
 	d.placer.Ended(now, host, sent, placer.Result{Outcome: outcome, Latency: now.Sub(sent), TypicalLatency: typicalLatency})
 }
@@ -259,7 +266,7 @@
 	}
 	arrived, callerTimeLeft := time.Now(), a.call.Remaining
 	var tried []string
-	for isolated := 0; len(tried)-isolated < maxDelegationAttempts && isolated < maxIsolatedGatherers; {
+	for declined := 0; len(tried)-declined < maxDelegationAttempts && declined < maxDeclines; {
 		host := f.delegate.choose(f.self(), connections, tried, a.route.Objective)
 		if host == nil {
 			return false
@@ -276,8 +283,8 @@
 		if r.Context().Err() != nil {
 			return true
 		}
-		if errors.Is(err, errPeerIsolated) {
-			isolated++
+		if errors.Is(err, errPeerIsolated) || errors.Is(err, errPeerBusy) {
+			declined++
 		}
 		a.objectiveSpent = time.Since(arrived)
 		a.call.Remaining = callerTimeLeft - a.objectiveSpent
@@ -349,6 +356,7 @@
 	out.header = out.header.Clone()
 	out.header.Set(delegationHeader, strconv.FormatUint(a.version, 10))
 	out.header.Set("Expect", "100-continue")
+	out.header.Set(domainHeader, f.Settings().Domain)
 	out.header.Set(spentHeader, strconv.FormatInt(time.Since(a.received).Milliseconds(), 10))
 	f.cfg.Dialect.SetRemaining(out.header, time.Until(a.expires))
 	out.body = slices.Concat([]byte{proceedByte}, out.body)
@@ -510,7 +518,7 @@
 	switch {
 	case err != nil:
 		f.decline(w, err.Error())
-	case relay.relayed && !f.room.admit(a.route.SubRequests()):
+	case (relay.relayed || f.comesFromAfar(r)) && !f.room.admit(a.route.SubRequests()):
 		f.metrics.relayAccepted(false)
 		f.decline(w, declinedBusy)
 	case unconfirmed:
@@ -523,6 +531,12 @@
 	}
 }
 
+// comesFromAfar reports whether a request was sent by a host of another failure domain, whose
+// own gathering hosts are lost.
+func (f *Forwarder) comesFromAfar(r *http.Request) bool {
+	return r.Header.Get(sliceHeader) == "" && r.Header.Get(domainHeader) != "" && r.Header.Get(domainHeader) != f.Settings().Domain
+}
+
 // decline declines a request of another host, which has not run, for a reason that may be
 // empty.
 func (f *Forwarder) decline(w http.ResponseWriter, reason string) {
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -165,7 +165,7 @@
 
 // removeOwnHeaders removes the headers of exchanges between hosts, which callers must not set.
 func removeOwnHeaders(h http.Header) {
-	for _, name := range []string{sliceHeader, neededHeader, delegationHeader, relayHeader, spentHeader} {
+	for _, name := range []string{sliceHeader, neededHeader, delegationHeader, relayHeader, spentHeader, domainHeader} {
 		h.Del(name)
 	}
 }
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -24,6 +24,8 @@
 	// servers. It states the number of servers that may still run each sub-request, and 1 if
 	// the request has been counted for the budget of extra attempts, else 0.
 	relayHeader = "X-Rhubarbpost-Relay"
+	// domainHeader states the failure domain of the host that sends a request on.
+	domainHeader = "X-Rhubarbpost-Domain"
 	// spentHeader states how many milliseconds of the latency objective are over.
 	spentHeader = "X-Rhubarbpost-Spent"
 	// resultHeader states the result code of a relay that was not served, and the Retry-After
@@ -39,8 +41,10 @@
 	// relayReceiptTimeout is how long a peer may take to confirm the receipt of a relay,
 	// tens of round trips.
 	relayReceiptTimeout = 60 * time.Millisecond
-	// maxRelayPeers is how many peers are tried for the same relay.
-	maxRelayPeers = 5
+	// maxRelayPeers is how many peers are tried for the same relay, within relaySearchTime: one
+	// that declines does so within a round trip.
+	maxRelayPeers   = 12
+	relaySearchTime = 150 * time.Millisecond
 )
 
 var errNoPeer = errors.New("no peer is available")
@@ -176,7 +180,7 @@
 	begun := time.Now()
 	err := errNoPeer
 	var tried []string
-	for len(tried) < maxRelayPeers {
+	for len(tried) < maxRelayPeers && time.Since(begun) < relaySearchTime {
 		peer, ok := f.delegate.choosePeer(f.self(), r.route, f.table.Load(), tried, strict)
 		if !ok {
 			break
@@ -296,19 +300,38 @@
 	connections, sharded := connectionsOf(table, route)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	tiers := delegator.RelayPeers(self, d.hosts, connections, sharded)
-	if strict {
-		for i := range tiers {
-			tiers[i] = keepingTerms(tiers[i])
-		}
-	}
-	peer, ok := d.peers.Choose(time.Now(), self.Domain, tiers, tried)
+	peer, ok := d.peers.Choose(time.Now(), d.relayTiers(self, relayKind{connections, sharded, strict}), tried)
 	if ok {
 		d.peers.Sent(peer.Name)
 	}
 	return peer, ok
 }
 
+// relayKind is a kind of relays with the same peers.
+type relayKind struct {
+	// connections is the number that a server accepts from all hosts together.
+	connections int
+	sharded     bool
+	// strict means that the peers must keep to the terms of a relay.
+	strict bool
+}
+
+// relayTiers returns the peers for a kind of relays. The caller holds d.mu.
+func (d *delegate) relayTiers(self delegator.Host, kind relayKind) []relayer.Tier {
+	tiers, ok := d.tiers[kind]
+	if ok {
+		return tiers
+	}
+	for _, hosts := range delegator.RelayPeers(self, d.hosts, kind.connections, kind.sharded) {
+		if kind.strict {
+			hosts = keepingTerms(hosts)
+		}
+		tiers = append(tiers, relayer.NewTier(self.Domain, hosts))
+	}
+	d.tiers[kind] = tiers
+	return tiers
+}
+
 func keepingTerms(hosts []delegator.Host) []delegator.Host {
 	var kept []delegator.Host
 	for _, host := range hosts {
--- a/pkg/coordination/relayer/relayer.go
+++ b/pkg/coordination/relayer/relayer.go
@@ -20,6 +20,12 @@
 	// retryTime is how long ago an avoided peer must have been tried to be tried again while
 	// all are avoided.
 	retryTime = 200 * time.Millisecond
+	// provenTime is how long a peer that has accepted a request is preferred, provenShare the
+	// fraction of requests for which it is.
+	provenTime  = time.Second
+	provenShare = 0.8
+	// maxDraws is how many hosts are drawn before all are looked at.
+	maxDraws = 8
 )
 
 // Outcome is how an exchange with a peer has ended.
@@ -83,19 +89,56 @@
 	return s != nil && now.Before(s.avoidedUntil)
 }
 
+// Tier is an immutable list of hosts with their shares of requests.
+type Tier struct {
+	hosts []delegator.Host
+	// sums has the sum of the weights of the hosts up to each one.
+	sums []float64
+}
+
+// NewTier returns the tier of some hosts for a host of a failure domain.
+func NewTier(domain string, hosts []delegator.Host) Tier {
+	t := Tier{hosts: hosts, sums: make([]float64, len(hosts))}
+	sum := 0.0
+	for i, host := range hosts {
+		weight := host.SubRequestRate()
+		if host.Domain == domain {
+			weight *= ownDomainWeight
+		}
+		sum += weight
+		t.sums[i] = sum
+	}
+	return t
+}
+
+// draw returns a host at random by the weights; place is in the range [0, 1).
+func (t Tier) draw(place float64) delegator.Host {
+	i, _ := slices.BinarySearch(t.sums, place*t.sums[len(t.sums)-1])
+	return t.hosts[min(i, len(t.hosts)-1)]
+}
+
 // Choose returns a host of the first tier that has one which is neither tried nor avoided,
-// at random by the rates of the hosts. If all are avoided, it returns one that was last tried
-// some time ago, and false if there is none. domain is the failure domain of this host. Sent
-// is to be called for the host chosen.
-func (p *Peers) Choose(now time.Time, domain string, tiers [][]delegator.Host, tried []string) (delegator.Host, bool) {
-	for _, usable := range []func(host string) bool{
-		func(host string) bool { return !p.Avoided(now, host) },
-		func(host string) bool { return now.Sub(p.state(host).avoidedAt) >= retryTime },
-	} {
+// at random by the rates of the hosts, fewer of those that have requests in flight, and mostly
+// among those that have accepted a request lately. If all are avoided, it returns one that was
+// last tried some time ago, and false if there is none. Sent is to be called for the host
+// chosen.
+func (p *Peers) Choose(now time.Time, tiers []Tier, tried []string) (delegator.Host, bool) {
+	usable := func(host string) bool { return !p.Avoided(now, host) && !slices.Contains(tried, host) }
+	proven := func(host string) bool {
+		s := p.peers[host]
+		return s != nil && usable(host) && now.Sub(s.acceptedAt) < provenTime
+	}
+	again := func(host string) bool {
+		s := p.peers[host]
+		return (s == nil || now.Sub(s.avoidedAt) >= retryTime) && !slices.Contains(tried, host)
+	}
+	conditions := []func(host string) bool{usable, again}
+	if p.random.Float64() < provenShare {
+		conditions = []func(host string) bool{proven, usable, again}
+	}
+	for _, condition := range conditions {
 		for _, tier := range tiers {
-			host, ok := p.chooseFrom(domain, tier, func(host string) bool {
-				return usable(host) && !slices.Contains(tried, host)
-			})
+			host, ok := p.chooseFrom(tier, condition)
 			if ok {
 				return host, true
 			}
@@ -104,14 +147,24 @@
 	return delegator.Host{}, false
 }
 
-// chooseFrom returns one of the usable hosts at random by their weights.
-func (p *Peers) chooseFrom(domain string, hosts []delegator.Host, usable func(host string) bool) (chosen delegator.Host, ok bool) {
-	sum := 0.0
-	for _, host := range hosts {
-		if !usable(host.Name) {
+// chooseFrom returns one of the hosts that fulfil a condition at random by their weights.
+func (p *Peers) chooseFrom(tier Tier, condition func(host string) bool) (chosen delegator.Host, ok bool) {
+	if len(tier.hosts) == 0 {
+		return chosen, false
+	}
+	for range maxDraws {
+		host := tier.draw(p.random.Float64())
+		if condition(host.Name) && p.random.Float64()*float64(1+p.inFlight(host.Name)) < 1 {
+			return host, true
+		}
+	}
+	sum, before := 0.0, 0.0
+	for i, host := range tier.hosts {
+		weight := (tier.sums[i] - before) / float64(1+p.inFlight(host.Name))
+		before = tier.sums[i]
+		if !condition(host.Name) {
 			continue
 		}
-		weight := p.weight(domain, host)
 		sum += weight
 		// Each host replaces those before it with the probability of its share of the sum.
 		if p.random.Float64()*sum < weight {
@@ -121,14 +174,12 @@
 	return chosen, ok
 }
 
-// weight returns the share of requests of a host: its rate, less if it has requests of this
-// host in flight.
-func (p *Peers) weight(domain string, host delegator.Host) float64 {
-	weight := host.SubRequestRate() / float64(1+p.state(host.Name).inFlight)
-	if host.Domain == domain {
-		weight *= ownDomainWeight
+func (p *Peers) inFlight(name string) int {
+	s := p.peers[name]
+	if s == nil {
+		return 0
 	}
-	return weight
+	return s.inFlight
 }
 
 // Sent records that a request is sent to a host.
--- a/pkg/coordination/relayer/room.go
+++ b/pkg/coordination/relayer/room.go
@@ -7,7 +7,7 @@
 
 const (
 	// roomMemory is the time constant of the average rate of a host's sub-requests.
-	roomMemory = 500 * time.Millisecond
+	roomMemory = 150 * time.Millisecond
 	// maxLoad is the fraction of its rate up to which a host accepts relayed requests; the
 	// rest is for its own callers.
 	maxLoad = 0.8
