internal/forwarder: a request for which no peer is left has not run

Callers saw 502 for an order that no server had got: the first request of a route at a host whose peers all had declined just before. Cause: no peer was tried, and that counted as a peer that may have begun. TestHostsThatAllReachNoServerRefuseAtOnce fails before (three of three) and passes ten times. With it tests of what passes through a peer: bytes, id, deadline, stamp, failures, the caller's close, limits, one hop, services that are down, hosts that reach some servers only.

--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -320,7 +320,7 @@
 // mayHaveGathered reports whether a gathering host may have sent sub-requests
 // before the exchange with it failed.
 func mayHaveGathered(err error) bool {
-	return !errors.Is(err, errNotGathered) && !errors.Is(err, errNoReceipt) && !NeverConnected(err)
+	return !errors.Is(err, errNotGathered) && !errors.Is(err, errNoReceipt) && !errors.Is(err, errNoPeer) && !NeverConnected(err)
 }
 
 // sendToGatherer sends the caller's request to a gathering host and reads the
