pkg/coordination/scatterer: a request for which no connection could be opened is refused as not run

Now 503 with the least Retry-After, since another host may reach the servers, or the time to the next relay if peers don't either. The test fails before (502).

--- a/pkg/coordination/scatterer/relays_test.go
+++ b/pkg/coordination/scatterer/relays_test.go
@@ -211,6 +211,18 @@
 	is.Equal(refusals[0].Failure.RetryAfter, relayPauseMax-400*time.Millisecond)
 }
 
+// TestRequestWithoutAnyConnectionIsRefusedAsNotRun guards against a status that keeps callers from sending an order again.
+func TestRequestWithoutAnyConnectionIsRefusedAsNotRun(t *testing.T) {
+	is := is.New(t)
+	m := testMachine(newDirectory("a", 2)) // without relays
+	sends := of[*Send](arrive(m, start, 1, single(false, 3)))
+	sends = of[*Send](end(m, start, sends[0], classifier.ServerUnreachable))
+	refusals := of[*Refuse](end(m, start, sends[0], classifier.ServerUnreachable))
+	is.Equal(len(refusals), 1)
+	is.Equal(refusals[0].Failure.Code.Definition().Status, 503)
+	is.Equal(refusals[0].Failure.RetryAfter, minRetryAfter) // other hosts may reach the servers
+}
+
 func TestRequestsReturnGraduallyAfterAPartition(t *testing.T) {
 	is := is.New(t)
 	m := relayMachine(newDirectory("a", 2))
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -875,15 +875,23 @@
 	if m.cancelAndAwait(r) {
 		return
 	}
+	retryAfter := m.retryAfter(now, r)
 	if r.mayHaveRun && code.NotRun() {
 		code = classifier.ServerFailed
 	}
-	if !r.mayHaveRun && !code.NotRun() {
+	switch {
+	case r.mayHaveRun:
+	case code == classifier.ServerUnreachable:
+		// The status of that code doesn't tell callers that the request has not run. Another
+		// host may reach the servers.
+		code = classifier.NoServer
+		retryAfter = max(minRetryAfter, r.retryAfter, r.stats.relays.reopensIn(now))
+	case !code.NotRun():
 		code = classifier.NotSent
 	}
 	failure := classifier.NewFailure(code, "%d of %d parts", r.answeredCount, len(r.subRequests))
 	if code.NotRun() {
-		failure = failure.WithRetryAfter(m.retryAfter(now, r))
+		failure = failure.WithRetryAfter(retryAfter)
 	}
 	missing := r.missing()
 	m.discard(now, r)
