--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -181,7 +181,7 @@
 	err := errNoPeer
 	var tried []string
 	for len(tried) < maxRelayPeers && time.Since(begun) < relaySearchTime {
-		peer, ok := f.delegate.choosePeer(f.self(), r.route, f.table.Load(), tried, strict)
+		peer, ok := f.choosePeer(r.route, tried, strict)
 		if !ok {
 			break
 		}
@@ -296,17 +296,32 @@
 
 // choosePeer returns a host through which a request can be sent, and false if there is none.
 // With strict, it is one that keeps to the terms of a relay. peerEnded is to be called for it.
-func (d *delegate) choosePeer(self delegator.Host, route *matcher.Route, table *matcher.Table, tried []string, strict bool) (delegator.Host, bool) {
-	connections, sharded := connectionsOf(table, route)
+func (f *Forwarder) choosePeer(route *matcher.Route, tried []string, strict bool) (delegator.Host, bool) {
+	connections, sharded := f.connections(route)
+	d := f.delegate
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	peer, ok := d.peers.Choose(time.Now(), d.relayTiers(self, relayKind{connections, sharded, strict}), tried)
+	tiers := d.relayTiers(f.self(), relayKind{connections, sharded, strict})
+	if len(d.hosts) <= 1 && !strict {
+		tiers = []relayer.Tier{relayer.NewTier("", f.seedHosts())}
+	}
+	peer, ok := d.peers.Choose(time.Now(), tiers, tried)
 	if ok {
 		d.peers.Sent(peer.Name)
 	}
 	return peer, ok
 }
 
+// seedHosts returns the seeds as hosts, named by their addresses, for a host that has just
+// started and doesn't know the others yet.
+func (f *Forwarder) seedHosts() []delegator.Host {
+	var hosts []delegator.Host
+	for _, address := range f.otherSeeds() {
+		hosts = append(hosts, delegator.Host{Name: address, Address: address, Capacity: f.Settings().Capacity})
+	}
+	return hosts
+}
+
 // relayKind is a kind of relays with the same peers.
 type relayKind struct {
 	// connections is the number that a server accepts from all hosts together.
--- a/internal/lab/starter/soak_test.go
+++ b/internal/lab/starter/soak_test.go
@@ -54,6 +54,10 @@
 	// stores holds the address at which each host reaches the store.
 	stores        []string
 	settingsFiles []string
+	// ips holds the IP address at which each host reaches the servers, empty for theirs.
+	ips []string
+	// domains is the number of failure domains of the hosts.
+	domains int
 	// basePorts holds the port for callers of each host; the next three ports are for
 	// readiness, control and metrics.
 	basePorts []int
@@ -94,7 +98,7 @@
 	s := &soak{
 		t: t, random: rand.New(rand.NewPCG(seed, seed)), store: standin.NewStore(),
 		servers: make(map[string]*standin.Server), orderStatuses: make(map[string]int),
-		addresses: make(map[string]string),
+		addresses: make(map[string]string), domains: 2,
 	}
 	t.Cleanup(s.store.Close)
 	return s
@@ -111,9 +115,16 @@
 	return server
 }
 
+// hostName returns the name of host i.
+func hostName(i int) string { return fmt.Sprint("h", i) }
+
 // addHost starts a host that reaches the store at an address.
-func (s *soak) addHost(store string) {
+func (s *soak) addHost(store string) { s.addLinkedHost(store, "") }
+
+// addLinkedHost starts a host that reaches the servers at an IP address of its own.
+func (s *soak) addLinkedHost(store, ip string) {
 	i := len(s.hosts)
+	s.ips = append(s.ips, ip)
 	s.stores = append(s.stores, store)
 	s.basePorts = append(s.basePorts, freeBlock(s.t))
 	s.settingsFiles = append(s.settingsFiles, filepath.Join(s.t.TempDir(), fmt.Sprint("host", i, ".jsonc")))
@@ -191,8 +202,8 @@
 
 func (s *soak) writeSettings(i, burst int) {
 	err := standin.HostSettings{
-		Name: fmt.Sprint("h", i), Domain: fmt.Sprint("d", 1+i%2), Port: s.basePorts[i], Seed: s.basePorts[0] + 2,
-		Store: s.stores[i], Burst: burst,
+		Name: hostName(i), Domain: fmt.Sprint("d", 1+i%s.domains), Port: s.basePorts[i], Seed: s.basePorts[0] + 2,
+		Store: s.stores[i], Burst: burst, Link: s.ips[i],
 	}.Write(s.settingsFiles[i])
 	if err != nil {
 		s.t.Error(err)
@@ -305,12 +316,17 @@
 
 // request sends a request to a host, checks the answer and reports whether there was one.
 func (s *soak) request(client *http.Client, host int, method, path, id, body string) bool {
+	return s.requestStatus(client, host, method, path, id, body) != 0
+}
+
+// requestStatus sends a request to a host, checks the answer and returns its status, 0 without one.
+func (s *soak) requestStatus(client *http.Client, host int, method, path, id, body string) int {
 	address := fmt.Sprintf("http://127.0.0.1:%d%s%s", s.basePorts[host], path, id)
 	// The body has no GetBody, so that the client can't retry an order by itself.
 	r, err := http.NewRequestWithContext(context.Background(), method, address, io.NopCloser(strings.NewReader(body)))
 	if err != nil {
 		s.fail("%v", err)
-		return false
+		return 0
 	}
 	r.ContentLength = int64(len(body))
 	r.Host = soakHostname
@@ -318,14 +334,14 @@
 	r.Header.Set("X-Deadline-Ms", "1000")
 	response, err := client.Do(r)
 	if err != nil {
-		return false
+		return 0
 	}
 	answer, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
 	if err == nil {
 		s.checkAnswer(id, path, response, answer)
 	}
-	return true
+	return response.StatusCode
 }
 
 // checkAnswer records the status of an order. It checks that an answer with status 200
