internal/forwarder: keep-alive states the one probe that TCP_USER_TIMEOUT leaves

Ours is 1 s, so that the first unanswered probe closes an idle connection after 6 s, not the second after 7 s as the settings said. What the kernel does is unchanged. No library of go.mod sets the option (searched); net/http's defaults apply elsewhere.

--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -26,6 +26,11 @@
 	// unackedDataTimeout is how long sent data may remain unacknowledged by the peer
 	// until the connection is closed.
 	unackedDataTimeout = time.Second
+	// keepAliveIdle is how long a connection is idle until it is probed, keepAliveInterval the
+	// time after which an unanswered probe closes it. As unackedDataTimeout is shorter, it is the
+	// first probe that decides: with TCP_USER_TIMEOUT the kernel ignores the number of probes.
+	keepAliveIdle     = 5 * time.Second
+	keepAliveInterval = time.Second
 	// tcpUserTimeoutOption is the number of the Linux socket option
 	// TCP_USER_TIMEOUT, whose value is in milliseconds.
 	tcpUserTimeoutOption = 18
@@ -217,7 +222,7 @@
 func dialer(timeout time.Duration) dialFunc {
 	d := &net.Dialer{
 		Timeout:         timeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 2},
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: 1},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var optionErr error
 			err := raw.Control(func(fd uintptr) {
