--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -41,8 +41,8 @@
 // RequestLog holds the log lines that concern one request.
 type RequestLog struct {
 	// Lines are those of the request; Context are those of the same hosts at about
-	// the same time that belong to no request, and earlier ones on limits that it met.
-	// Both are sorted by time.
+	// the same time that belong to no request, and earlier ones on limits that it met and
+	// on failure domains that couldn't be reached. Both are sorted by time.
 	Lines   []Line
 	Context []Line
 	// Skipped counts the lines that are not log lines.
@@ -66,7 +66,7 @@
 	if err != nil {
 		return found, err
 	}
-	found.Context = slices.Concat(found.limits(others), found.contextOf(others))
+	found.Context = slices.Concat(found.earlier(others, limitChanges), found.earlier(others, reachChanges), found.contextOf(others))
 	byTime := func(a, b Line) int { return a.Time.Compare(b.Time) }
 	slices.SortStableFunc(found.Lines, byTime)
 	slices.SortStableFunc(found.Context, byTime)
@@ -122,25 +122,43 @@
 	return nearby
 }
 
-// limits returns, if the request lacked servers because of their limits, the last line on
-// each limit that its hosts had written long before it.
-func (l *RequestLog) limits(others []Line) []Line {
+// stateChanges are lines that change the state of a host which lasts until the next such line.
+type stateChanges struct {
+	// concerns reports whether such a state is behind what a line of a request says.
+	concerns func(line Line) bool
+	events   []logger.Event
+	// subject is the field that names what the state is about.
+	subject string
+}
+
+var (
+	limitChanges = stateChanges{
+		concerns: Line.limitReached, events: []logger.Event{logger.LimitStarted, logger.LimitChanged, logger.LimitEnded}, subject: "server",
+	}
+	reachChanges = stateChanges{
+		concerns: Line.unreachable, events: []logger.Event{logger.ServersLost, logger.ServersRegained}, subject: "domain",
+	}
+)
+
+// earlier returns, if the state of a host is behind the outcome of the request, the last line
+// on each part of that state which the host had written long before.
+func (l *RequestLog) earlier(others []Line, changes stateChanges) []Line {
 	var found []Line
 	for _, line := range l.Lines {
-		if !line.limitReached() {
+		if !changes.concerns(line) {
 			continue
 		}
 		last := make(map[string]Line)
 		for _, other := range others {
-			if other.Host == line.Host && other.changesLimit() && line.Time.Sub(other.Time) > contextWindow {
-				server := fmt.Sprint(other.fields["server"])
-				if !other.Time.Before(last[server].Time) {
-					last[server] = other
+			if other.Host == line.Host && other.isOneOf(changes.events) && line.Time.Sub(other.Time) > contextWindow {
+				subject := fmt.Sprint(other.fields[changes.subject])
+				if !other.Time.Before(last[subject].Time) {
+					last[subject] = other
 				}
 			}
 		}
-		for _, server := range slices.Sorted(maps.Keys(last)) {
-			found = append(found, last[server])
+		for _, subject := range slices.Sorted(maps.Keys(last)) {
+			found = append(found, last[subject])
 		}
 		break
 	}
@@ -153,9 +171,22 @@
 	return l.fields["result"] == name || strings.Contains(fmt.Sprint(l.fields["missing"]), "="+name)
 }
 
-// changesLimit reports whether the line states the limit of a server.
-func (l Line) changesLimit() bool {
-	return l.Event == logger.LimitStarted.String() || l.Event == logger.LimitChanged.String() || l.Event == logger.LimitEnded.String()
+// unreachable reports whether a request or a part of it had no server within reach, or was sent
+// through a peer for that.
+func (l Line) unreachable() bool {
+	if l.Event == logger.RequestRelayed.String() {
+		return true
+	}
+	for _, code := range []classifier.Code{classifier.NoServer, classifier.ServerUnreachable} {
+		if l.fields["result"] == code.String() || strings.Contains(fmt.Sprint(l.fields["missing"]), "="+code.String()) {
+			return true
+		}
+	}
+	return false
+}
+
+func (l Line) isOneOf(events []logger.Event) bool {
+	return slices.ContainsFunc(events, func(event logger.Event) bool { return l.Event == event.String() })
 }
 
 // Write prints the lines in human-readable form.
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -40,3 +40,29 @@
 	}
 	is.True(!strings.Contains(explain("3"), "server=s1"))
 }
+
+const reachLogs = `
+{"time":"2026-01-01T10:00:00Z","msg":"serversLost","host":"a","domain":"d1","isolated":false}
+{"time":"2026-01-01T10:00:00Z","msg":"serversLost","host":"a","domain":"d2","isolated":true}
+{"time":"2026-01-01T10:00:01Z","msg":"serversRegained","host":"a","domain":"d2","isolated":false}
+{"time":"2026-01-01T10:00:00Z","msg":"serversLost","host":"b","domain":"d3","isolated":false}
+{"time":"2026-01-01T10:00:30Z","msg":"requestRelayed","host":"a","request":"1","peer":"b","status":200}
+{"time":"2026-01-01T10:00:30Z","msg":"requestRefused","host":"a","request":"2","result":"noServer"}
+{"time":"2026-01-01T10:00:30Z","msg":"requestAnswered","host":"a","request":"3","covered":3,"parts":4,"missing":"s=serverUnreachable[]"}
+{"time":"2026-01-01T10:00:30Z","msg":"requestRefused","host":"a","request":"4","result":"overloaded"}
+`
+
+// TestReachOfAHostIsFoundForItsRequests checks that the lines on failure domains that a host can't
+// reach are printed with the requests that met that, though they were written long before.
+func TestReachOfAHostIsFoundForItsRequests(t *testing.T) {
+	is := is.New(t)
+	for request, want := range map[string]bool{"1": true, "2": true, "3": true, "4": false} {
+		found, err := Read(request, strings.NewReader(reachLogs))
+		is.NoErr(err)
+		var text strings.Builder
+		found.Write(&text)
+		is.Equal(strings.Contains(text.String(), "10:00:00.000 a serversLost domain=d1"), want)
+		is.Equal(strings.Contains(text.String(), "10:00:01.000 a serversRegained domain=d2"), want)
+		is.True(!strings.Contains(text.String(), "d3"))
+	}
+}
--- a/internal/explainer/summary.go
+++ b/internal/explainer/summary.go
@@ -17,7 +17,8 @@
 type Cause struct {
 	// Result is the name of a result code, or "incomplete" for an answer that lacks shards.
 	Result string
-	// State is that of the host at the time: starting, not ready, store unreachable, or empty.
+	// State is that of the host at the time: starting, no server reachable, not ready, store
+	// unreachable, or empty.
 	// An answer that lacks shards because of the limits of servers has "server limit".
 	State string
 }
@@ -36,6 +37,8 @@
 type hostState struct {
 	started  time.Time
 	notReady bool
+	// isolated is set while no backend server can be reached.
+	isolated bool
 	// lostPrefixes counts the prefixes for which the store does not answer.
 	lostPrefixes int
 }
@@ -71,6 +74,8 @@
 		*host = hostState{started: line.Time}
 	case logger.ReadinessChanged.String():
 		host.notReady = line.fields["fit"] == false
+	case logger.ServersLost.String(), logger.ServersRegained.String():
+		host.isolated = line.fields["isolated"] == true
 	case logger.StoreLost.String():
 		host.lostPrefixes++
 	case logger.StoreRegained.String():
@@ -94,6 +99,8 @@
 	switch {
 	case now.Sub(h.started) < startupWindow:
 		return "starting"
+	case h.isolated:
+		return "no server reachable"
 	case h.notReady:
 		return "not ready"
 	case h.lostPrefixes > 0:
--- a/internal/explainer/summary_test.go
+++ b/internal/explainer/summary_test.go
@@ -22,6 +22,10 @@
 {"time":"2026-01-01T10:00:07Z","msg":"requestRefused","host":"b","request":"7","result":"overloaded"}
 {"time":"2026-01-01T10:00:08.1Z","msg":"requestAnswered","host":"b","request":"8","covered":3,"parts":4,"missing":"s=limitReached[]"}
 {"time":"2026-01-01T10:00:08.2Z","msg":"requestRefused","host":"b","request":"9","result":"limitReached"}
+{"time":"2026-01-01T10:00:10.1Z","msg":"serversLost","host":"b","domain":"d1","isolated":true}
+{"time":"2026-01-01T10:00:10.2Z","msg":"requestRefused","host":"b","request":"10","result":"noServer"}
+{"time":"2026-01-01T10:00:10.3Z","msg":"serversRegained","host":"b","domain":"d1","isolated":false}
+{"time":"2026-01-01T10:00:10.4Z","msg":"requestRefused","host":"b","request":"11","result":"overloaded"}
 no line of a log
 `
 
@@ -37,6 +41,7 @@
 10:00:04.0 1 noServer (not ready), 1 noServer (store unreachable)
 10:00:06.0 1 incomplete, 1 overloaded
 10:00:08.0 1 incomplete (server limit), 1 limitReached
-all 1 incomplete, 1 incomplete (server limit), 1 limitReached, 1 noServer (not ready), 1 noServer (store unreachable), 1 notConfigured (starting), 1 overloaded
+10:00:10.0 1 noServer (no server reachable), 1 overloaded
+all 2 overloaded, 1 incomplete, 1 incomplete (server limit), 1 limitReached, 1 noServer (no server reachable), 1 noServer (not ready), 1 noServer (store unreachable), 1 notConfigured (starting)
 `)
 }
