pkg/coordination/relayer: a choice of a peer doesn't look at all hosts

Peers that have accepted requests are remembered, sixteen of them, in place of being looked for among all. Measured, 60 % of the hosts known to be isolated (go test ./pkg/coordination/relayer -bench Choose): 1.5 to 0.45 us at 8 hosts, 21 to 0.68 us at 295, 256 to 4.6 us at 3,400; the fleet test serves as many requests.

--- a/pkg/coordination/relayer/relayer.go
+++ b/pkg/coordination/relayer/relayer.go
@@ -24,6 +24,8 @@
 	// fraction of requests for which it is.
 	provenTime  = time.Second
 	provenShare = 0.8
+	// maxProven is the number of such peers that are remembered.
+	maxProven = 16
 	// maxDraws is how many hosts are drawn before all are looked at.
 	maxDraws = 8
 )
@@ -66,6 +68,8 @@
 type Peers struct {
 	random *rand.Rand
 	peers  map[string]*peerState
+	// proven holds the peers that have accepted requests last, the latest first.
+	proven []string
 }
 
 // NewPeers returns peers about which nothing is known. The random numbers decide among
@@ -92,13 +96,14 @@
 // Tier is an immutable list of hosts with their shares of requests.
 type Tier struct {
 	hosts []delegator.Host
-	// sums has the sum of the weights of the hosts up to each one.
-	sums []float64
+	// sums has the sum of the weights of the hosts up to each one, places the index of each.
+	sums   []float64
+	places map[string]int
 }
 
 // NewTier returns the tier of some hosts for a host of a failure domain.
 func NewTier(domain string, hosts []delegator.Host) Tier {
-	t := Tier{hosts: hosts, sums: make([]float64, len(hosts))}
+	t := Tier{hosts: hosts, sums: make([]float64, len(hosts)), places: make(map[string]int, len(hosts))}
 	sum := 0.0
 	for i, host := range hosts {
 		weight := host.SubRequestRate()
@@ -107,10 +112,19 @@
 		}
 		sum += weight
 		t.sums[i] = sum
+		t.places[host.Name] = i
 	}
 	return t
 }
 
+// weight returns the share of requests of a host.
+func (t Tier) weight(i int) float64 {
+	if i == 0 {
+		return t.sums[0]
+	}
+	return t.sums[i] - t.sums[i-1]
+}
+
 // draw returns a host at random by the weights; place is in the range [0, 1).
 func (t Tier) draw(place float64) delegator.Host {
 	i, _ := slices.BinarySearch(t.sums, place*t.sums[len(t.sums)-1])
@@ -124,19 +138,19 @@
 // chosen.
 func (p *Peers) Choose(now time.Time, tiers []Tier, tried []string) (delegator.Host, bool) {
 	usable := func(host string) bool { return !p.Avoided(now, host) && !slices.Contains(tried, host) }
-	proven := func(host string) bool {
-		s := p.peers[host]
-		return s != nil && usable(host) && now.Sub(s.acceptedAt) < provenTime
-	}
 	again := func(host string) bool {
 		s := p.peers[host]
 		return (s == nil || now.Sub(s.avoidedAt) >= retryTime) && !slices.Contains(tried, host)
 	}
-	conditions := []func(host string) bool{usable, again}
 	if p.random.Float64() < provenShare {
-		conditions = []func(host string) bool{proven, usable, again}
+		for _, tier := range tiers {
+			host, ok := p.chooseProven(now, tier, usable)
+			if ok {
+				return host, true
+			}
+		}
 	}
-	for _, condition := range conditions {
+	for _, condition := range []func(host string) bool{usable, again} {
 		for _, tier := range tiers {
 			host, ok := p.chooseFrom(tier, condition)
 			if ok {
@@ -147,10 +161,38 @@
 	return delegator.Host{}, false
 }
 
-// chooseFrom returns one of the hosts that fulfil a condition at random by their weights.
-func (p *Peers) chooseFrom(tier Tier, condition func(host string) bool) (chosen delegator.Host, ok bool) {
+// lottery chooses one of some hosts at random by weights: each replaces those before it with the
+// probability of its share of the sum.
+type lottery struct {
+	random *rand.Rand
+	sum    float64
+	chosen delegator.Host
+	ok     bool
+}
+
+func (l *lottery) add(host delegator.Host, weight float64) {
+	l.sum += weight
+	if l.random.Float64()*l.sum < weight {
+		l.chosen, l.ok = host, true
+	}
+}
+
+// chooseProven returns one of the usable hosts that have accepted a request lately.
+func (p *Peers) chooseProven(now time.Time, tier Tier, usable func(host string) bool) (delegator.Host, bool) {
+	l := lottery{random: p.random}
+	for _, name := range p.proven {
+		i, ok := tier.places[name]
+		if ok && usable(name) && now.Sub(p.peers[name].acceptedAt) < provenTime {
+			l.add(tier.hosts[i], tier.weight(i)/float64(1+p.inFlight(name)))
+		}
+	}
+	return l.chosen, l.ok
+}
+
+// chooseFrom returns one of the hosts that fulfil a condition.
+func (p *Peers) chooseFrom(tier Tier, condition func(host string) bool) (delegator.Host, bool) {
 	if len(tier.hosts) == 0 {
-		return chosen, false
+		return delegator.Host{}, false
 	}
 	for range maxDraws {
 		host := tier.draw(p.random.Float64())
@@ -158,20 +200,13 @@
 			return host, true
 		}
 	}
-	sum, before := 0.0, 0.0
+	l := lottery{random: p.random}
 	for i, host := range tier.hosts {
-		weight := (tier.sums[i] - before) / float64(1+p.inFlight(host.Name))
-		before = tier.sums[i]
-		if !condition(host.Name) {
-			continue
-		}
-		sum += weight
-		// Each host replaces those before it with the probability of its share of the sum.
-		if p.random.Float64()*sum < weight {
-			chosen, ok = host, true
+		if condition(host.Name) {
+			l.add(host, tier.weight(i)/float64(1+p.inFlight(host.Name)))
 		}
 	}
-	return chosen, ok
+	return l.chosen, l.ok
 }
 
 func (p *Peers) inFlight(name string) int {
@@ -200,6 +235,7 @@
 	switch outcome {
 	case Accepted:
 		s.avoidedUntil, s.acceptedAt = time.Time{}, now
+		p.rememberProven(name)
 	case Isolated:
 		s.avoid(now, isolatedTime, true)
 	case Busy:
@@ -210,6 +246,11 @@
 	}
 }
 
+func (p *Peers) rememberProven(name string) {
+	p.proven = slices.DeleteFunc(p.proven, func(other string) bool { return other == name })
+	p.proven = slices.Insert(p.proven[:min(len(p.proven), maxProven-1)], 0, name)
+}
+
 // Hear records that another host has found out, some time ago, that a host reaches no backend
 // server. What this host has observed itself since then outweighs that.
 func (p *Peers) Hear(now time.Time, name string, age time.Duration) {
@@ -238,6 +279,7 @@
 		listed := slices.ContainsFunc(hosts, func(h delegator.Host) bool { return h.Name == name })
 		if !listed && s.inFlight == 0 {
 			delete(p.peers, name)
+			p.proven = slices.DeleteFunc(p.proven, func(other string) bool { return other == name })
 		}
 	}
 }
--- a/pkg/coordination/relayer/relayer_test.go
+++ b/pkg/coordination/relayer/relayer_test.go
@@ -223,3 +223,24 @@
 	}
 	is.True(float64(served) >= leastServed*float64(asked))
 }
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{8, 295, 3400} {
+		b.Run(fmt.Sprint(n, " hosts, 60 % known to be isolated"), func(b *testing.B) {
+			p := newPeers()
+			var hosts []delegator.Host
+			for i := range n {
+				h := host(fmt.Sprint("h", i), fmt.Sprint("d", i%13), 0.4)
+				hosts = append(hosts, h)
+				if i%5 < 3 {
+					p.Learn(start, h.Name, Isolated)
+				}
+			}
+			tiers := []Tier{NewTier("d0", hosts)}
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Choose(start, tiers, nil)
+			}
+		})
+	}
+}
