internal/forwarder, pkg/coordination/scatterer: patience with busy peers, and soon a new search for one

Trace of h2: of 132 relays 33 got no receipt within 60 ms, 22 got it as they were given up, which makes the outcome unknown, and 42 requests were refused while the gate was closed, for up to 2.4 s after three such failures.

Cause: the time for a receipt was that of a delegation, which has another way; and a peer that doesn't respond was counted like a peer that says it reaches no server. Now a quarter of the time left, 60 to 300 ms, for a receipt, half of it for the search; and 0.1 to 0.6 s between searches that find no peer. TestSearchForAPeerIsRepeatedSoon fails before.

--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -38,13 +38,16 @@
 	// isolatedHeader has a line for each host that, as far as the declining one knows,
 	// reaches no backend server: the age of that knowledge in milliseconds and the name.
 	isolatedHeader = "X-Rhubarbpost-Isolated"
-	// relayReceiptTimeout is how long a peer may take to confirm the receipt of a relay,
-	// tens of round trips.
-	relayReceiptTimeout = 60 * time.Millisecond
-	// maxRelayPeers is how many peers are tried for the same relay, within relaySearchTime: one
-	// that declines does so within a round trip.
-	maxRelayPeers   = 12
-	relaySearchTime = 150 * time.Millisecond
+	// A peer may take the fraction relayReceiptShare of the time left to confirm the receipt of a
+	// relay, at least relayReceiptMin, tens of round trips, and at most relayReceiptMax. It may
+	// be busy, and there is no other way to the servers.
+	relayReceiptShare = 0.25
+	relayReceiptMin   = 60 * time.Millisecond
+	relayReceiptMax   = 300 * time.Millisecond
+	// maxRelayPeers is how many peers are tried for the same relay, within the fraction
+	// relaySearchShare of the time left: one that declines does so within a round trip.
+	maxRelayPeers    = 12
+	relaySearchShare = 0.5
 )
 
 var errNoPeer = errors.New("no peer is available")
@@ -178,9 +181,11 @@
 	// A host of an older build may run a request more often than the terms allow.
 	strict := !s.Whole || s.MaxAttempts < r.route.Attempts
 	begun := time.Now()
+	left := time.Until(s.Deadline)
+	receipt := min(max(time.Duration(relayReceiptShare*float64(left)), relayReceiptMin), relayReceiptMax)
 	err := errNoPeer
 	var tried []string
-	for len(tried) < maxRelayPeers && time.Since(begun) < relaySearchTime {
+	for len(tried) < maxRelayPeers && time.Since(begun) <= time.Duration(relaySearchShare*float64(left)) {
 		peer, ok := f.choosePeer(r.route, tried, strict)
 		if !ok {
 			break
@@ -188,7 +193,7 @@
 		tried = append(tried, peer.Name)
 		var answer *Answer
 		server := &lister.Server{ID: peer.Name, Address: peer.Address, Domain: peer.Domain}
-		answer, err = f.exchangeWithGatherer(ctx, r, server, relayReceiptTimeout, headers)
+		answer, err = f.exchangeWithGatherer(ctx, r, server, receipt, headers)
 		f.delegate.peerEnded(ctx, peer.Name, err)
 		f.logRelay(r, s, peer.Name, answer, err, begun)
 		if err == nil {
@@ -200,7 +205,7 @@
 	}
 	f.metrics.relayed(err)
 	failed := &Answer{Code: classifier.NoServer, Err: err, Exhausted: true}
-	outcome := scatterer.RelayUnserved
+	outcome := scatterer.RelayNoPeer
 	switch {
 	case ctx.Err() != nil:
 		failed.Code, outcome = classifier.CodeOf(ctx.Err(), classifier.Canceled), scatterer.RelayCanceled
@@ -408,6 +413,7 @@
 		}
 		end.Ends = append(end.Ends, ended)
 	}
-	e.assessor.RelayEnded(item.outcome == scatterer.RelayServed, item.outcome == scatterer.RelayUnserved)
+	unserved := item.outcome == scatterer.RelayUnserved || item.outcome == scatterer.RelayNoPeer
+	e.assessor.RelayEnded(item.outcome == scatterer.RelayServed, unserved)
 	e.act(e.machine.Step(now, end))
 }
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -55,6 +55,8 @@
 	ExtraDelay time.Duration
 	// CloseIdle closes the connection after each answer, without a Connection: close header.
 	CloseIdle bool
+	// Close closes the connection after each answer, which says so.
+	Close bool
 }
 
 // Arrival is a request that a backend server has run.
@@ -271,7 +273,7 @@
 		time.Sleep(b.ExtraDelay)
 		s.write(conn, 200, id, []byte("answer to no request"), stamp)
 	}
-	return open && !b.CloseIdle
+	return open && !b.CloseIdle && !b.Close
 }
 
 // acquireSlot waits for a slot. It returns false without waiting if the queue is full.
@@ -321,6 +323,9 @@
 	if b.Draining {
 		headers = append(headers, "Server-Leaving: 1")
 	}
+	if b.Close {
+		headers = append(headers, "Connection: close")
+	}
 	if b.Limit != "" {
 		headers = append(headers, "Server-Limit: "+b.Limit)
 	}
--- a/pkg/coordination/scatterer/relays.go
+++ b/pkg/coordination/scatterer/relays.go
@@ -22,9 +22,11 @@
 	// as able to serve a route.
 	relayFailures = 3
 	// relayPauseMin and relayPauseMax bound the time between relays of a route that no peer
-	// serves.
-	relayPauseMin = 300 * time.Millisecond
-	relayPauseMax = 2400 * time.Millisecond
+	// serves, noPeerPauseMin and noPeerPauseMax that between searches for a peer.
+	relayPauseMin  = 300 * time.Millisecond
+	relayPauseMax  = 2400 * time.Millisecond
+	noPeerPauseMin = 100 * time.Millisecond
+	noPeerPauseMax = 600 * time.Millisecond
 	// goldenRatio spreads consecutive request IDs evenly over the unit interval.
 	goldenRatio = 0.6180339887498949
 )
@@ -64,12 +66,15 @@
 // ended records the outcome of a relay.
 func (g *relayGate) ended(now time.Time, outcome RelayOutcome) {
 	g.inFlight--
+	least, most := relayPauseMin, relayPauseMax
 	switch outcome {
 	case RelayServed:
 		g.proven, g.failures, g.pause, g.closedUntil = true, 0, 0, time.Time{}
 		return
 	case RelayCanceled:
 		return
+	case RelayNoPeer:
+		least, most = noPeerPauseMin, noPeerPauseMax
 	case RelayFailed, RelayUnserved:
 	}
 	g.failures++
@@ -77,7 +82,7 @@
 		return
 	}
 	g.proven = false
-	g.pause = min(max(2*g.pause, relayPauseMin), relayPauseMax)
+	g.pause = min(max(2*g.pause, least), most)
 	g.closedUntil = now.Add(g.pause)
 }
 
--- a/pkg/coordination/scatterer/relays_test.go
+++ b/pkg/coordination/scatterer/relays_test.go
@@ -246,6 +246,21 @@
 	is.Equal(direct(now.Add(ramp), 300), 100)
 }
 
+// TestSearchForAPeerIsRepeatedSoon guards against hosts that refuse for seconds after a moment in which no peer responded.
+func TestSearchForAPeerIsRepeatedSoon(t *testing.T) {
+	is := is.New(t)
+	m := relayMachine(newDirectory("a", 2))
+	now := lose(m, single(true, 3), detector.Silent)
+	for i := range 20 {
+		relays := of[*SendRelay](arrive(m, now, uint64(i+1), single(true, 3)))
+		is.Equal(len(relays), 1)
+		endRelay(m, now, relays[0], RelayNoPeer, classifier.NoServer)
+		refusals := of[*Refuse](arrive(m, now, uint64(100+i), single(true, 3)))
+		is.Equal(len(refusals), 1) // at once
+		now = now.Add(noPeerPauseMax)
+	}
+}
+
 func TestRelayChargesTheBudgetOfExtraAttempts(t *testing.T) {
 	is := is.New(t)
 	m := relayMachine(newDirectory("a", 1))
--- a/pkg/coordination/scatterer/types.go
+++ b/pkg/coordination/scatterer/types.go
@@ -138,8 +138,10 @@
 	RelayFailed RelayOutcome = iota
 	// RelayServed means that a peer got the answers.
 	RelayServed
-	// RelayUnserved means that no peer took the request, or that none reaches the servers.
+	// RelayUnserved means that a peer took the request and reaches no server for it either.
 	RelayUnserved
+	// RelayNoPeer means that no peer took the request.
+	RelayNoPeer
 	// RelayCanceled means that this host canceled the relay.
 	RelayCanceled
 )
