pkg/coordination/delegator: any host as the last resort of relays of queries

Trace: all eight fast hosts and most reserves were cut off during a burst of 1.6 times the load; the few reserves left had no room, and the 25 other hosts with servers in reach were not asked. Now they are the last tier.

--- a/pkg/coordination/delegator/delegator.go
+++ b/pkg/coordination/delegator/delegator.go
@@ -141,18 +141,28 @@
 // RelayPeers returns the hosts through which self may send a request whose servers it can't
 // reach, in tiers: a later one is used while no host of those before is available. Each
 // backend server accepts the given number of connections, as in New; sharded requests go to
-// hosts that gather queries.
+// hosts that gather queries, and to any other only while none of those is left: it opens
+// connections of its own.
 func RelayPeers(self Host, hosts []Host, connections int, sharded bool) [][]Host {
 	if !sharded || allFanOut(hosts, connections) {
 		return [][]Host{slices.DeleteFunc(slices.Clone(hosts), self.same)}
 	}
-	var first, second []Host
+	var first, second, rest []Host
+	tiered := map[string]bool{self.Name: true}
 	for _, domain := range domainsOf(hosts) {
 		gatherers, reserves := gathering(domain, hosts, connections)
 		first = append(first, gatherers...)
 		second = append(second, reserves...)
 	}
-	return [][]Host{slices.DeleteFunc(first, self.same), slices.DeleteFunc(second, self.same)}
+	for _, host := range slices.Concat(first, second) {
+		tiered[host.Name] = true
+	}
+	for _, host := range hosts {
+		if !tiered[host.Name] {
+			rest = append(rest, host)
+		}
+	}
+	return [][]Host{slices.DeleteFunc(first, self.same), slices.DeleteFunc(second, self.same), rest}
 }
 
 // extraShare returns the fraction of all hedges and retries to shards that a host may
--- a/pkg/coordination/delegator/delegator_test.go
+++ b/pkg/coordination/delegator/delegator_test.go
@@ -277,8 +277,9 @@
 	is := is.New(t)
 	hosts := fleet(3, 2, 20)
 	tiers := RelayPeers(hosts[0], hosts, 63, true)
-	is.Equal(len(tiers), 2)
+	is.Equal(len(tiers), 3)
 	is.Equal(len(tiers[0]), 5) // the gathering hosts but itself
+	is.Equal(len(tiers[0])+len(tiers[1])+len(tiers[2]), len(hosts)-1)
 	for _, host := range tiers[1] {
 		is.True(!slices.ContainsFunc(tiers[0], host.same))
 	}
