--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -388,19 +387,22 @@
 		return nil, err
 	case response.StatusCode != http.StatusMisdirectedRequest:
 	case declined == declinedIsolated:
-		f.delegate.takeIsolated(response.Header)
+		f.logUnread(host.ID, f.delegate.takeIsolated(response.Header))
 		return nil, errPeerIsolated
 	case declined == declinedBusy:
 		return nil, errPeerBusy
 	default:
 		return nil, errNotGathered
 	}
-	for _, notice := range takeDraining(response.Header, host.ID) {
+	notices, unread := takeDraining(response.Header, host.ID)
+	for _, notice := range notices {
 		f.engine.push(notice)
 	}
-	for _, notice := range takeLimits(response.Header, host.ID) {
+	limits, unreadLimits := takeLimits(response.Header, host.ID)
+	for _, notice := range limits {
 		f.engine.push(notice)
 	}
+	f.logUnread(host.ID, append(unread, unreadLimits...))
 	answer := &Answer{Status: response.StatusCode, Header: response.Header, Body: body}
 	answer.Code, answer.RetryAfter = takeResult(response.Header)
 	return answer, nil
@@ -415,19 +417,27 @@
 	}
 }
 
+// logUnread logs the header lines of another host that can't be read.
+func (f *Forwarder) logUnread(host string, lines []string) {
+	if len(lines) > 0 {
+		f.cfg.Logger.Warn(logger.PeerHeaderRejected, "peer", host, "lines", len(lines), "first", lines[0])
+	}
+}
+
 // takeDraining removes the draining servers named by another host from the headers
-// of its answer and returns them. Lines that can't be parsed are ignored.
-func takeDraining(h http.Header, host string) []drainNotice {
-	var servers []drainNotice
+// of its answer and returns them, and the lines that can't be read.
+func takeDraining(h http.Header, host string) (servers []drainNotice, unread []string) {
 	for _, line := range h.Values(drainingHeader) {
 		text, id, _ := strings.Cut(line, " ")
 		startedAtMillis, err := strconv.ParseInt(text, 10, 64)
-		if err == nil {
-			servers = append(servers, drainNotice{id: id, startedAtMillis: startedAtMillis, host: host})
+		if err != nil {
+			unread = append(unread, line)
+			continue
 		}
+		servers = append(servers, drainNotice{id: id, startedAtMillis: startedAtMillis, host: host})
 	}
 	h.Del(drainingHeader)
-	return servers
+	return servers, unread
 }
 
 // connections returns how many connections a server of the route's first shard
@@ -471,125 +481,3 @@
 	}
 	return hosts
 }
-
-// serveControl serves queries delegated by other hosts, and the calls of peers.
-func (f *Forwarder) serveControl(calls http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		version := r.Header.Get(delegationHeader)
-		if version == "" {
-			calls.ServeHTTP(w, r)
-			return
-		}
-		r.Header.Del(delegationHeader)
-		f.gather(w, r, version)
-	})
-}
-
-// gather serves a query or a request that another host has sent. It declines with status 421
-// if this host is not ready, reaches no backend server, has no room for a relay or can't
-// accept the request (it may have no route for it), if the other host has a newer
-// configuration, or if a slice was made with another version of the configuration.
-func (f *Forwarder) gather(w http.ResponseWriter, r *http.Request, version string) {
-	relay, err := takeRelayTerms(r.Header)
-	switch {
-	case err != nil:
-		f.decline(w, err.Error())
-		return
-	case f.engine.isolated.Load():
-		f.metrics.relayAccepted(false)
-		f.delegate.addIsolated(w.Header())
-		f.decline(w, declinedIsolated)
-		return
-	case !f.Ready():
-		f.decline(w, "")
-		return
-	}
-	body := r.Body
-	unconfirmed := r.Header.Get(sliceHeader) != "" && r.ContentLength == proceedLength && !relay.relayed
-	if !unconfirmed {
-		err = readProceedByte(body)
-		if err != nil {
-			// The delegating host has canceled the request; nobody receives this answer.
-			f.decline(w, "")
-			return
-		}
-	}
-	a, err := f.acceptFromPeer(w, r, version, relay)
-	switch {
-	case err != nil:
-		f.decline(w, err.Error())
-	case (relay.relayed || f.comesFromAfar(r)) && !f.room.admit(a.route.SubRequests()):
-		f.metrics.relayAccepted(false)
-		f.decline(w, declinedBusy)
-	case unconfirmed:
-		f.runUnconfirmed(w, r, a, body)
-	default:
-		if relay.relayed {
-			f.metrics.relayAccepted(true)
-		}
-		f.run(w, r, a)
-	}
-}
-
-// comesFromAfar reports whether a request was sent by a host of another failure domain, whose
-// own gathering hosts are lost.
-func (f *Forwarder) comesFromAfar(r *http.Request) bool {
-	return r.Header.Get(sliceHeader) == "" && r.Header.Get(domainHeader) != "" && r.Header.Get(domainHeader) != f.Settings().Domain
-}
-
-// decline declines a request of another host, which has not run, for a reason that may be
-// empty.
-func (f *Forwarder) decline(w http.ResponseWriter, reason string) {
-	if reason != "" {
-		w.Header().Set(declinedHeader, reason)
-	}
-	w.WriteHeader(http.StatusMisdirectedRequest)
-}
-
-var (
-	errNotAccepted   = errors.New("this host can't accept the request")
-	errOlderVersion  = errors.New("this host has an older configuration")
-	errInvalidSender = errors.New("the version of the other host is not a number")
-)
-
-// acceptFromPeer reads a request of another host, made with a version of the configuration.
-func (f *Forwarder) acceptFromPeer(w http.ResponseWriter, r *http.Request, version string, relay relayTerms) (*arrival, error) {
-	sliceIndexes, needed, spent := r.Header.Get(sliceHeader), r.Header.Get(neededHeader), takeSpent(r.Header)
-	removeProceedByte(r)
-	a, failure := f.accept(w, r)
-	if failure != nil {
-		return nil, errNotAccepted
-	}
-	senderVersion, err := strconv.ParseUint(version, 10, 64)
-	switch {
-	case err != nil:
-		return nil, errInvalidSender
-	case a.version < senderVersion:
-		return nil, errOlderVersion
-	}
-	a.objectiveSpent, a.delegated, a.relay = delegationReserve, true, relay
-	if sliceIndexes != "" {
-		err = a.restrictTo(sliceIndexes, needed, senderVersion)
-	}
-	a.objectiveSpent += spent
-	return a, err
-}
-
-// readProceedByte confirms the receipt of a request (net/http sends 100 Continue
-// at the first read) and waits until the delegating host has got that confirmation
-// and answers with the proceed byte.
-func readProceedByte(body io.Reader) error {
-	var first [proceedLength]byte
-	_, err := io.ReadFull(body, first[:])
-	return err
-}
-
-// removeProceedByte removes the Expect header and subtracts the proceed byte from the
-// length of the body; exchangeWithGatherer added both to the caller's request.
-func removeProceedByte(r *http.Request) {
-	r.Header.Del("Expect")
-	r.ContentLength -= proceedLength
-	if r.ContentLength == 0 {
-		r.Body = http.NoBody
-	}
-}
--- a/internal/forwarder/limits.go
+++ b/internal/forwarder/limits.go
@@ -129,20 +129,21 @@
 }
 
 // takeLimits removes the limits that another host has told from the headers of its answer
-// and returns them. Lines that can't be parsed are ignored.
-func takeLimits(h http.Header, host string) []limitNotice {
-	var notices []limitNotice
+// and returns them, and the lines that can't be read.
+func takeLimits(h http.Header, host string) (notices []limitNotice, unread []string) {
 	for _, line := range h.Values(limitHeader) {
 		var ageMillis int64
 		l := limitNotice{host: host}
 		_, err := fmt.Sscanf(line, "%d %g %d %s", &l.incarnation.StartedAtMillis, &l.rate, &ageMillis, &l.incarnation.Server)
-		if err == nil && l.rate >= 0 {
-			l.age = time.Duration(ageMillis) * time.Millisecond
-			notices = append(notices, l)
+		if err != nil || l.rate < 0 {
+			unread = append(unread, line)
+			continue
 		}
+		l.age = time.Duration(ageMillis) * time.Millisecond
+		notices = append(notices, l)
 	}
 	h.Del(limitHeader)
-	return notices
+	return notices, unread
 }
 
 // limitChanged logs a change of a limit; source is who has told it.
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -3,16 +3,11 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
-	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/delegator"
-	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/relayer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
@@ -52,113 +47,6 @@
 
 var errNoPeer = errors.New("no peer is available")
 
-// relayTerms are the terms on which a host sends on a request for another one.
-type relayTerms struct {
-	// relayed is false for a request that was not sent on.
-	relayed     bool
-	maxAttempts int
-	repeat      bool
-}
-
-// String returns the value of relayHeader.
-func (t relayTerms) String() string {
-	repeat := 0
-	if t.repeat {
-		repeat = 1
-	}
-	return fmt.Sprintf("%d %d", t.maxAttempts, repeat)
-}
-
-// takeRelayTerms removes relayHeader and returns the terms that it states.
-func takeRelayTerms(h http.Header) (relayTerms, error) {
-	text := h.Get(relayHeader)
-	if text == "" {
-		return relayTerms{}, nil
-	}
-	h.Del(relayHeader)
-	var repeat int
-	t := relayTerms{relayed: true}
-	_, err := fmt.Sscanf(text, "%d %d", &t.maxAttempts, &repeat)
-	if err != nil || t.maxAttempts < 1 {
-		return t, fmt.Errorf("%s %q doesn't state the terms of a relay", relayHeader, text)
-	}
-	t.repeat = repeat != 0
-	return t, nil
-}
-
-// takeSpent removes spentHeader and returns how much of the latency objective is over; a host
-// of an older build doesn't tell.
-func takeSpent(h http.Header) time.Duration {
-	millis, err := strconv.ParseInt(h.Get(spentHeader), 10, 64)
-	h.Del(spentHeader)
-	if err != nil || millis < 0 {
-		return 0
-	}
-	return time.Duration(millis) * time.Millisecond
-}
-
-// addIsolated adds the hosts known to reach no backend server to the headers of an answer, so
-// that the other host doesn't have to find out by itself.
-func (d *delegate) addIsolated(h http.Header) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for name, age := range d.peers.Isolated(time.Now()) {
-		h.Add(isolatedHeader, fmt.Sprintf("%d %s", age.Milliseconds(), name))
-	}
-}
-
-// takeIsolated records the hosts that another one knows to reach no backend server.
-func (d *delegate) takeIsolated(h http.Header) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	for _, line := range h.Values(isolatedHeader) {
-		text, name, _ := strings.Cut(line, " ")
-		millis, err := strconv.ParseInt(text, 10, 64)
-		if err == nil && millis >= 0 {
-			d.peers.Hear(now, name, time.Duration(millis)*time.Millisecond)
-		}
-	}
-}
-
-// setResult states why a relay was not served.
-func setResult(h http.Header, failure *classifier.Failure) {
-	h.Set(resultHeader, fmt.Sprintf("%d %d", failure.Code, failure.RetryAfter.Milliseconds()))
-}
-
-// takeResult removes resultHeader and returns what it states, 0 without one.
-func takeResult(h http.Header) (code classifier.Code, retryAfter time.Duration) {
-	var millis int64
-	_, err := fmt.Sscanf(h.Get(resultHeader), "%d %d", &code, &millis)
-	h.Del(resultHeader)
-	if err != nil {
-		return 0, 0
-	}
-	return code, time.Duration(millis) * time.Millisecond
-}
-
-// room tells whether this host has room for relays of its peers.
-type room struct {
-	mu   sync.Mutex
-	room *relayer.Room
-}
-
-func newRoom(self delegator.Host) *room {
-	return &room{room: relayer.NewRoom(self.SubRequestRate())}
-}
-
-func (r *room) add(n int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.room.Add(time.Now(), n)
-}
-
-func (r *room) admit(n int) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.room.Admit(time.Now(), n)
-}
-
 // relayEnd is the end of a relay with the ends of its attempts.
 type relayEnd struct {
 	request    uint64
@@ -299,89 +187,6 @@
 	return end
 }
 
-// choosePeer returns a host through which a request can be sent, and false if there is none.
-// With strict, it is one that keeps to the terms of a relay. peerEnded is to be called for it.
-func (f *Forwarder) choosePeer(route *matcher.Route, tried []string, strict bool) (delegator.Host, bool) {
-	connections, sharded := f.connections(route)
-	d := f.delegate
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	tiers := d.relayTiers(f.self(), relayKind{connections, sharded, strict})
-	if len(d.hosts) <= 1 && !strict {
-		tiers = []relayer.Tier{relayer.NewTier("", f.seedHosts())}
-	}
-	peer, ok := d.peers.Choose(time.Now(), tiers, tried)
-	if ok {
-		d.peers.Sent(peer.Name)
-	}
-	return peer, ok
-}
-
-// seedHosts returns the seeds as hosts, named by their addresses, for a host that has just
-// started and doesn't know the others yet.
-func (f *Forwarder) seedHosts() []delegator.Host {
-	var hosts []delegator.Host
-	for _, address := range f.otherSeeds() {
-		hosts = append(hosts, delegator.Host{Name: address, Address: address, Capacity: f.Settings().Capacity})
-	}
-	return hosts
-}
-
-// relayKind is a kind of relays with the same peers.
-type relayKind struct {
-	// connections is the number that a server accepts from all hosts together.
-	connections int
-	sharded     bool
-	// strict means that the peers must keep to the terms of a relay.
-	strict bool
-}
-
-// relayTiers returns the peers for a kind of relays. The caller holds d.mu.
-func (d *delegate) relayTiers(self delegator.Host, kind relayKind) []relayer.Tier {
-	tiers, ok := d.tiers[kind]
-	if ok {
-		return tiers
-	}
-	for _, hosts := range delegator.RelayPeers(self, d.hosts, kind.connections, kind.sharded) {
-		if kind.strict {
-			hosts = keepingTerms(hosts)
-		}
-		tiers = append(tiers, relayer.NewTier(self.Domain, hosts))
-	}
-	d.tiers[kind] = tiers
-	return tiers
-}
-
-func keepingTerms(hosts []delegator.Host) []delegator.Host {
-	var kept []delegator.Host
-	for _, host := range hosts {
-		if host.Relays {
-			kept = append(kept, host)
-		}
-	}
-	return kept
-}
-
-// peerEnded records the end of an exchange with the host that choosePeer returned.
-func (d *delegate) peerEnded(ctx context.Context, peer string, err error) {
-	outcome := relayer.Unreached
-	switch {
-	case err == nil:
-		outcome = relayer.Accepted
-	case ctx.Err() != nil:
-		outcome = relayer.Canceled
-	case errors.Is(err, errPeerIsolated):
-		outcome = relayer.Isolated
-	case errors.Is(err, errPeerBusy):
-		outcome = relayer.Busy
-	case errors.Is(err, errNotGathered):
-		outcome = relayer.Declined
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.peers.Ended(time.Now(), peer, outcome)
-}
-
 // sendRelay sends sub-requests through a peer, as one exchange. The exchange is canceled
 // once all its attempts have ended or are canceled.
 func (e *engine) sendRelay(a *scatterer.SendRelay) {
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -75,6 +75,7 @@
 	ServersLost          Event = 543
 	ServersRegained      Event = 544
 	RequestRelayed       Event = 545
+	PeerHeaderRejected   Event = 546
 	LinesDropped         Event = 550
 	LibraryLogged        Event = 551
 )
@@ -141,6 +142,7 @@
 	{ServersLost, "serversLost", "No backend server of a failure domain accepts a connection from this host or has answered it lately; isolated if that holds for all failure domains."},
 	{ServersRegained, "serversRegained", "Backend servers of the failure domain can be reached again."},
 	{RequestRelayed, "requestRelayed", "A request, or the parts of it whose servers this host can't reach, was sent through a peer."},
+	{PeerHeaderRejected, "peerHeaderRejected", "Another host has sent header lines that can't be read; they are ignored."},
 	{LinesDropped, "linesDropped", "Log lines were dropped to limit the log volume."},
 	{LibraryLogged, "libraryNoted", "A library wrote a log line, such as net/http about a connection with bytes that belong to no request."},
 }
