pkg/coordination/allotter: a pool that was not asked for begins like a new one

Suspected then, shown now: a host that allots again within 30 s begins with the tokens that its pool has kept and with the whole limit, while those of the other host still hold. A pool that was not asked for over two intervals of asks keeps one token and gets half of the limit for a second, as a new one does.

--- a/pkg/coordination/allotter/allotter.go
+++ b/pkg/coordination/allotter/allotter.go
@@ -23,9 +23,11 @@
 	// horizon is the time for which a host gets tokens ahead: the interval of its asks and
 	// what they may be late.
 	horizon = AskInterval * 3 / 2
-	// settleTime is the time in which a new pool gets half of the limit. Another host may
-	// have allotted the tokens before, and may still do so for some hosts.
-	settleTime = time.Second
+	// settleTime is the time in which a new pool gets half of the limit, and one that was not
+	// asked for over unaskedTime. Another host may have allotted the tokens before, and may
+	// still do so for some hosts.
+	settleTime  = time.Second
+	unaskedTime = 2 * AskInterval
 	// poolLife is how long an unused pool is kept.
 	poolLife = 30 * time.Second
 )
@@ -71,6 +73,12 @@
 	p.refilledAt = now
 }
 
+// settle makes the pool begin like a new one, but with a token for a host that asks rarely.
+func (p *pool) settle(now time.Time) {
+	p.tokens = min(p.tokens, 1)
+	p.refilledAt, p.settledAt = now.Add(-AskInterval), now.Add(settleTime)
+}
+
 // depth returns the number of tokens that the pool holds at most.
 func (p *pool) depth() float64 {
 	return max(minDepth, p.limit.rate()*poolTime.Seconds())
@@ -122,6 +130,9 @@
 		p = &pool{limit: ask.Limit, refilledAt: now.Add(-AskInterval), settledAt: now.Add(settleTime), demand: demand{at: now}, askers: make(map[string]*asker)}
 		a.pools[ask.Incarnation] = p
 	}
+	if now.Sub(p.refilledAt) > unaskedTime {
+		p.settle(now)
+	}
 	p.refill(now)
 	heardAt := now.Add(-time.Duration(ask.AgeMillis) * time.Millisecond)
 	if heardAt.After(p.heardAt) {
--- a/pkg/coordination/allotter/fleet_test.go
+++ b/pkg/coordination/allotter/fleet_test.go
@@ -226,3 +226,25 @@
 		}
 	}
 }
+
+// TestHostsThatAllotByTurnsKeepToTheLimit guards against tokens that a host has kept since it allotted last.
+func TestHostsThatAllotByTurnsKeepToTheLimit(t *testing.T) {
+	for seed := range uint64(40) {
+		is := is.New(t)
+		f := newFleet(seed, 6, true, 12)
+		first, second := New(), New()
+		f.allot = first
+		for range 12 {
+			f.run(time.Duration(700+f.rng.IntN(1800))*time.Millisecond, 300)
+			// Some hosts find out sooner that the other one allots now.
+			f.second = second
+			f.run(time.Duration(f.rng.IntN(600))*time.Millisecond, 300)
+			first, second = second, first
+			f.allot, f.second = first, nil
+		}
+		is.True(most(f.sent) <= allowed(12))
+		if most(f.sent) > 70 {
+			t.Logf("seed %d: %d of %d", seed, most(f.sent), allowed(12))
+		}
+	}
+}
