internal/forwarder: delegated queries are declined beyond the rate of a host

Cause: all six fast hosts were cut off. Each remaining host delegated the queries of its callers to the five reserves left, 1,440 sub-requests a second each, above their 1,312 (link of 21 Mbit/s). Only relays and queries of other failure domains were subject to the room of a host; those of its own failure domain were always accepted, while 29 other hosts were idle.

Evidence: 271 of these refusals are "overloaded" at those five hosts.

Fix: every delegated query and relay is accepted only up to 0.8 of the rate. A host whose query is declined asks the next one and in the end scatters it itself, which is its share of the load. Slices are accepted as before. The header with the failure domain of the sender has no reader left and is gone; queries from afar counted twice in the room of a host.

--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -140,8 +140,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_relays_sent_total{ok=\"%t\"}", err == nil)).Inc()
 }
 
-// relayAccepted records a relay of another host.
-func (c *counters) relayAccepted(accepted bool) {
+// relayAccepted records a request of another host if it is a relay.
+func (c *counters) relayAccepted(terms relayTerms, accepted bool) {
+	if !terms.relayed {
+		return
+	}
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_relays_received_total{accepted=\"%t\"}", accepted)).Inc()
 }
 
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -355,7 +355,6 @@
 	out.header = out.header.Clone()
 	out.header.Set(delegationHeader, strconv.FormatUint(a.version, 10))
 	out.header.Set("Expect", "100-continue")
-	out.header.Set(domainHeader, f.Settings().Domain)
 	out.header.Set(spentHeader, strconv.FormatInt(time.Since(a.received).Milliseconds(), 10))
 	f.cfg.Dialect.SetRemaining(out.header, time.Until(a.expires))
 	out.body = slices.Concat([]byte{proceedByte}, out.body)
--- a/internal/forwarder/gather.go
+++ b/internal/forwarder/gather.go
@@ -21,8 +21,8 @@
 }
 
 // gather serves a query or a request that another host has sent. It declines with status 421
-// if this host is not ready, reaches no backend server, has no room for a relay or can't
-// accept the request (it may have no route for it), if the other host has a newer
+// if this host is not ready, reaches no backend server, has no room for the request or
+// can't accept it (it may have no route for it), if the other host has a newer
 // configuration, or if a slice was made with another version of the configuration.
 func (f *Forwarder) gather(w http.ResponseWriter, r *http.Request, version string) {
 	relay, err := takeRelayTerms(r.Header)
@@ -31,7 +31,7 @@
 		f.decline(w, err.Error())
 		return
 	case f.engine.isolated.Load():
-		f.metrics.relayAccepted(false)
+		f.metrics.relayAccepted(relay, false)
 		f.delegate.addIsolated(w.Header())
 		f.decline(w, declinedIsolated)
 		return
@@ -40,7 +40,8 @@
 		return
 	}
 	body := r.Body
-	unconfirmed := r.Header.Get(sliceHeader) != "" && r.ContentLength == proceedLength && !relay.relayed
+	slice := r.Header.Get(sliceHeader) != "" && !relay.relayed
+	unconfirmed := slice && r.ContentLength == proceedLength
 	if !unconfirmed {
 		err = readProceedByte(body)
 		if err != nil {
@@ -53,25 +54,22 @@
 	switch {
 	case err != nil:
 		f.decline(w, err.Error())
-	case (relay.relayed || f.comesFromAfar(r)) && !f.room.admit(a.route.SubRequests()):
-		f.metrics.relayAccepted(false)
+	case slice:
+		f.room.add(a.route.SubRequests())
+		if unconfirmed {
+			f.runUnconfirmed(w, r, a, body)
+			return
+		}
+		f.run(w, r, a)
+	case !f.room.admit(a.route.SubRequests()):
+		f.metrics.relayAccepted(relay, false)
 		f.decline(w, declinedBusy)
-	case unconfirmed:
-		f.runUnconfirmed(w, r, a, body)
 	default:
-		if relay.relayed {
-			f.metrics.relayAccepted(true)
-		}
+		f.metrics.relayAccepted(relay, true)
 		f.run(w, r, a)
 	}
 }
 
-// comesFromAfar reports whether a request was sent by a host of another failure domain, whose
-// own gathering hosts are lost.
-func (f *Forwarder) comesFromAfar(r *http.Request) bool {
-	return r.Header.Get(sliceHeader) == "" && r.Header.Get(domainHeader) != "" && r.Header.Get(domainHeader) != f.Settings().Domain
-}
-
 // decline declines a request of another host, which has not run, for a reason that may be
 // empty.
 func (f *Forwarder) decline(w http.ResponseWriter, reason string) {
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -56,7 +56,7 @@
 
 // begin passes a request to the engine.
 func (f *Forwarder) begin(a *arrival) {
-	if !a.relay.relayed {
+	if !a.delegated {
 		f.room.add(a.route.SubRequests())
 	}
 	f.engine.push(a)
@@ -165,7 +165,7 @@
 
 // removeOwnHeaders removes the headers of exchanges between hosts, which callers must not set.
 func removeOwnHeaders(h http.Header) {
-	for _, name := range []string{sliceHeader, neededHeader, delegationHeader, relayHeader, spentHeader, domainHeader} {
+	for _, name := range []string{sliceHeader, neededHeader, delegationHeader, relayHeader, spentHeader} {
 		h.Del(name)
 	}
 }
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -19,8 +19,6 @@
 	// servers. It states the number of servers that may still run each sub-request, and 1 if
 	// the request has been counted for the budget of extra attempts, else 0.
 	relayHeader = "X-Rhubarbpost-Relay"
-	// domainHeader states the failure domain of the host that sends a request on.
-	domainHeader = "X-Rhubarbpost-Domain"
 	// spentHeader states how many milliseconds of the latency objective are over.
 	spentHeader = "X-Rhubarbpost-Spent"
 	// resultHeader states the result code of a relay that was not served, and the Retry-After
--- a/internal/forwarder/relaypeers.go
+++ b/internal/forwarder/relaypeers.go
@@ -43,7 +43,7 @@
 	return unread
 }
 
-// room tells whether this host has room for relays of its peers.
+// room tells whether this host has room for requests of its peers.
 type room struct {
 	mu   sync.Mutex
 	room *relayer.Room
--- a/pkg/coordination/relayer/room.go
+++ b/pkg/coordination/relayer/room.go
@@ -8,12 +8,12 @@
 const (
 	// roomMemory is the time constant of the average rate of a host's sub-requests.
 	roomMemory = 150 * time.Millisecond
-	// maxLoad is the fraction of its rate up to which a host accepts relayed requests; the
+	// maxLoad is the fraction of its rate up to which a host accepts requests of other hosts; the
 	// rest is for its own callers.
 	maxLoad = 0.8
 )
 
-// Room measures the load of a host, and tells whether it has room for a relayed request.
+// Room measures the load of a host, and tells whether it has room for a request of another host.
 type Room struct {
 	// rate is the number of sub-requests per second that the host can send.
 	rate float64
