internal/forwarder: one gate decides whether a delegated request begins

Cause: the timer of the receipt and the arrival of the receipt were observed in two places (a flag set at the first response byte, and the context that the timer cancels). Between the two, net/http might or might not have sent the proceed byte.

Change: the body of a delegated request asks a gate when net/http first reads it, and the timer closes the same gate. Whoever is first decides; a closed gate means that the other host never begins, so that the request goes to the next one or is refused as not run.

--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -8,12 +8,10 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
@@ -252,7 +250,6 @@
 	// errPeerIsolated and errPeerBusy are kinds of errNotGathered.
 	errPeerIsolated = fmt.Errorf("%w: it reaches no backend server", errNotGathered)
 	errPeerBusy     = fmt.Errorf("%w: it has no room for the request", errNotGathered)
-	errLateReceipt  = errors.New("the receipt came while the request was given up")
 )
 
 // delegateQuery has a gathering host serve a query. It returns true if the request has
@@ -341,40 +338,37 @@
 func (f *Forwarder) exchangeWithGatherer(ctx context.Context, a *arrival, host *lister.Server, receipt time.Duration, headers map[string]string) (*Answer, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	var received atomic.Bool
+	var gate proceedGate
 	receiptTimer := time.AfterFunc(receipt, func() {
-		if !received.Load() {
+		if gate.close() {
 			cancel(errNoReceipt)
 		}
 	})
 	defer receiptTimer.Stop()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotFirstResponseByte: func() { received.Store(true) },
-	})
 	out := a.outbound
 	out.header = out.header.Clone()
 	out.header.Set(delegationHeader, strconv.FormatUint(a.version, 10))
 	out.header.Set("Expect", "100-continue")
 	out.header.Set(spentHeader, strconv.FormatInt(time.Since(a.received).Milliseconds(), 10))
 	f.cfg.Dialect.SetRemaining(out.header, time.Until(a.expires))
-	out.body = slices.Concat([]byte{proceedByte}, out.body)
 	for name, value := range headers {
 		out.header.Set(name, value)
 	}
-	response, err := f.delegate.transport.RoundTrip(out.request(ctx, host))
-	switch {
-	case err == nil:
-	case received.Load() && errors.Is(err, errNoReceipt):
-		return nil, errLateReceipt
-	case received.Load():
-		return nil, err
-	case NeverConnected(err) || errors.Is(err, errNoReceipt):
-		return nil, err
-	default:
-		return nil, fmt.Errorf("%w: %w", errNoReceipt, err)
+	r := out.request(ctx, host)
+	body := slices.Concat([]byte{proceedByte}, out.body)
+	r.Body, r.ContentLength = &proceedBody{unrewindableBody{body}, &gate}, int64(len(body))
+	response, err := f.delegate.transport.RoundTrip(r)
+	receiptTimer.Stop()
+	var answer *Answer
+	if err == nil {
+		answer, err = f.readGathered(response, host)
+		_ = response.Body.Close()
+	}
+	declined := errors.Is(err, errNotGathered)
+	if err == nil || declined || !gate.close() || NeverConnected(err) || errors.Is(err, errNoReceipt) {
+		return answer, err
 	}
-	defer func() { _ = response.Body.Close() }()
-	return f.readGathered(response, host)
+	return nil, fmt.Errorf("%w: %w", errNoReceipt, err)
 }
 
 // readGathered reads the answer of another host, or returns why that host has declined.
