internal/forwarder: broken-off answers tell whether the server has ended, and which request it ran

The logs could not tell a server that has ended from one that closed or reset a connection or lost an answer, nor one request from another.

Change: an attempt whose connection ends before the answer is complete is followed by opening and closing a connection to the server: refused means that it has ended. The stand-in's servers crash under requests whose path has a text, and come back as a new incarnation.

Measured: TestBrokenOffAnswersOfEndedServersAreToldApart, three ends.

--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -213,6 +213,9 @@
 		if NeverConnected(err) {
 			a.Evidence = detector.NoConnection
 		}
+		if sent {
+			c.checkBrokenOff(ctx, a, server)
+		}
 		return a
 	}
 	a := &Answer{Status: response.StatusCode, Header: response.Header, Evidence: evidence}
@@ -223,7 +226,9 @@
 	case errors.Is(err, errBodyTooLarge) || errors.Is(err, errBodyBudgetExhausted):
 		return &Answer{Code: classifier.ResponseTooLarge, Err: err, Evidence: evidence}
 	case err != nil:
-		return &Answer{Code: failureCode(ctx, true), Err: err, Evidence: evidence}
+		a = &Answer{Code: failureCode(ctx, true), Err: err, Evidence: evidence}
+		c.checkBrokenOff(ctx, a, server)
+		return a
 	}
 	c.dialect.Classify(call, a)
 	if a.Code == classifier.EchoMismatch && conn.Load() != nil {
--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -122,6 +122,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_attempts_ended_total{result=%q}", code)).Inc()
 }
 
+// brokenOff records an attempt whose connection has ended before the answer was complete.
+func (c *counters) brokenOff(end serverEnd) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_attempts_broken_off_total{server=%q}", end)).Inc()
+}
+
 func (c *counters) storeCall(call string, err error) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_store_calls_total{call=%q,ok=\"%t\"}", call, err == nil)).Inc()
 }
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -14,6 +14,7 @@
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/allotter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/assessor"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/vetter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
@@ -67,6 +68,7 @@
 	// unconfirmed is true until the other host has sent the proceed byte.
 	unconfirmed bool
 	outbound    outbound
+	fingerprint vetter.Fingerprint
 	reply       chan reply
 	// delegated is true if another host has delegated the request, relay has the terms if it
 	// has sent it on.
@@ -340,6 +342,9 @@
 	if !s.relayed {
 		e.metrics.attempt(a.Code)
 	}
+	if a.BrokenOff {
+		e.metrics.brokenOff(a.Ended)
+	}
 	r := e.requests[s.request]
 	if r == nil {
 		return nil
@@ -347,7 +352,8 @@
 	e.answers[s.request][item.attempt] = a
 	if a.Code != classifier.OK && !s.relayed {
 		e.log.Info(logger.AttemptFailed, "request", r.call.ID, "server", s.server.ID,
-			"domain", s.server.Domain, "result", a.Code, "status", a.Status, "error", a.Err)
+			"domain", s.server.Domain, "result", a.Code, "status", a.Status, "error", a.Err,
+			"fingerprint", r.fingerprint, "brokenOff", a.BrokenOff, "serverEnd", a.Ended)
 	}
 	return &scatterer.AttemptEnded{
 		Attempt: item.attempt, Code: a.Code, FinalResponse: a.FinalResponse,
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/vetter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
 )
@@ -106,6 +107,7 @@
 		header["User-Agent"] = nil
 	}
 	a.outbound = outbound{method: r.Method, url: r.URL, host: r.Host, header: header, body: body}
+	a.fingerprint = vetter.Identity{Method: r.Method, Host: call.Host, Target: r.RequestURI, Caller: call.Caller, Body: body}.Fingerprint()
 	return a, nil
 }
 
--- a/internal/forwarder/types.go
+++ b/internal/forwarder/types.go
@@ -21,6 +21,8 @@
 	Host string
 	// Remaining is how long the caller still waits.
 	Remaining time.Duration
+	// Caller holds the caller's credentials, empty without any.
+	Caller string
 }
 
 // Answer is the whole answer of a backend server to one attempt.
@@ -50,6 +52,10 @@
 	Err error
 	// Evidence is what the exchange tells about the path to the server.
 	Evidence detector.Evidence
+	// BrokenOff means that the connection ended after the request was sent and before the
+	// answer was complete, Ended what a new connection has shown then.
+	BrokenOff bool
+	Ended     serverEnd
 	// RetryAfter is when another host that refused the request expects to be able to serve it.
 	RetryAfter time.Duration
 	// Whole means that a peer has served the whole request; the answer goes to the caller as
--- a/internal/lab/standin/link.go
+++ b/internal/lab/standin/link.go
@@ -55,6 +55,8 @@
 	conns  map[*linkConn]bool
 	// healed is closed when the path works again; nil while it does.
 	healed chan struct{}
+	// down is set while the server has crashed.
+	down   bool
 	closed bool
 }
 
@@ -164,7 +166,7 @@
 func (l *link) add(c *linkConn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.closed {
+	if l.closed || l.down {
 		return false
 	}
 	l.conns[c] = true
@@ -232,7 +234,7 @@
 }
 
 func (l *link) listen() error {
-	if l.socket != nil {
+	if l.socket != nil || l.down {
 		return nil
 	}
 	var sockets net.ListenConfig
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -57,6 +57,11 @@
 	CloseIdle bool
 	// Close closes the connection after each answer, which says so.
 	Close bool
+	// Deadly is a text in the path or query of the requests that crash the server once they
+	// have run for Delay; empty for none.
+	Deadly string
+	// DownTime is how long the server is down after a crash, a second if it is 0.
+	DownTime time.Duration
 }
 
 // Arrival is a request that a backend server has run.
@@ -67,6 +72,7 @@
 	Host     string
 	Body     string
 	Deadline string
+	At       time.Time
 }
 
 // Receipt is the receipt of a request at a backend server, whether or not it was run.
@@ -84,8 +90,14 @@
 	// Rows holds the numbers whose records make up the body of an answer.
 	Rows []uint64
 
-	socket    net.Listener
-	mu        sync.Mutex
+	address string
+	mu      sync.Mutex
+	socket  net.Listener
+	// down is set between a crash and the restart, closed after Close; restarted is called
+	// with each incarnation after a crash.
+	down      bool
+	closed    bool
+	restarted func(*Server)
 	behaviour Behaviour
 	arrivals  []Arrival
 	// received holds the requests that were read, also those rejected.
@@ -97,6 +109,7 @@
 	rejected atomic.Int64
 	// restarts counts the incarnations after the first.
 	restarts atomic.Int64
+	crashes  atomic.Int64
 	workers  sync.WaitGroup
 	// slots holds one value for each running request; waiting counts the queued requests.
 	slots   chan struct{}
@@ -109,13 +122,13 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ID: id, Service: service, Domain: domain, socket: socket, conns: make(map[net.Conn]bool), links: make(map[string]*link), slots: make(chan struct{}, serverSlots)}
-	s.workers.Go(s.accept)
+	s := &Server{ID: id, Service: service, Domain: domain, address: socket.Addr().String(), socket: socket, conns: make(map[net.Conn]bool), links: make(map[string]*link), slots: make(chan struct{}, serverSlots)}
+	s.workers.Go(func() { s.accept(socket) })
 	return s, nil
 }
 
 // Address returns the address of the server as IP:port.
-func (s *Server) Address() string { return s.socket.Addr().String() }
+func (s *Server) Address() string { return s.address }
 
 // Registration returns the registration of the server, as a server writes it to the store.
 func (s *Server) Registration(state string) map[string]any {
@@ -182,8 +195,9 @@
 
 // Close closes the listener and all connections and waits for their goroutines.
 func (s *Server) Close() {
-	_ = s.socket.Close()
 	s.mu.Lock()
+	s.closed = true
+	_ = s.socket.Close()
 	for conn := range s.conns {
 		_ = conn.Close()
 	}
@@ -194,16 +208,17 @@
 	s.workers.Wait()
 }
 
-func (s *Server) accept() {
+func (s *Server) accept(socket net.Listener) {
 	for {
-		conn, err := s.socket.Accept()
+		conn, err := socket.Accept()
 		if err != nil {
 			return
 		}
 		s.opened.Add(1)
-		s.mu.Lock()
-		s.conns[conn] = true
-		s.mu.Unlock()
+		if !s.add(conn) {
+			_ = conn.Close()
+			continue
+		}
 		s.workers.Go(func() {
 			s.serve(conn)
 			_ = conn.Close()
@@ -214,6 +229,17 @@
 	}
 }
 
+// add records an open connection, and reports false if the server has crashed.
+func (s *Server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down || s.closed {
+		return false
+	}
+	s.conns[conn] = true
+	return true
+}
+
 // serve reads and answers the requests of a connection one after another.
 func (s *Server) serve(conn net.Conn) {
 	reader := bufio.NewReader(conn)
@@ -246,12 +272,16 @@
 	}
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, Arrival{
-		ID: id, Method: r.Method, Path: r.URL.RequestURI(), Host: r.Host, Body: body, Deadline: r.Header.Get("X-Deadline-Ms"),
+		ID: id, Method: r.Method, Path: r.URL.RequestURI(), Host: r.Host, Body: body, Deadline: r.Header.Get("X-Deadline-Ms"), At: time.Now(),
 	})
 	s.mu.Unlock()
 	time.Sleep(b.Delay)
 	load := s.loadHeader()
 	<-s.slots
+	if b.deadly(r.URL.RequestURI()) {
+		s.Crash()
+		return false
+	}
 	stamp := "X-Server-Stamp: " + s.Stamp(id)
 	switch {
 	case b.Reset:
--- a/internal/lab/standin/site.go
+++ b/internal/lab/standin/site.go
@@ -184,7 +184,9 @@
 	}
 	server.Rows = rows
 	s.servers = append(s.servers, server)
-	s.store.Put("servers", server.ID, server.Registration("ready"))
+	register := func(server *Server) { s.store.Put("servers", server.ID, server.Registration("ready")) }
+	server.OnRestart(register)
+	register(server)
 	return nil
 }
 
