pkg/coordination/vetter: requests under which servers end are held back by all hosts together

Cause: no host related the end of a server to the request that it ran, and a request without any answer was hedged and tried again as if its servers were slow.

Change: a pure machine keeps a record of each request under which servers have ended, by its fingerprint; what is recorded are sets that only grow, merged in any order. Two ends make it run at one server at a time, in a trial that one host holds for all; three of which one was a trial block it. A run that ends well clears it, and a blocked request accounts for the ends of the servers that others ran at, too. A query is not hedged before a first answer; what broke off waits for one; at the second end the rest is canceled and one server is tried. Hosts push changed records to others (all up to 16, else four which push on) and compare digests every 500 ms. Blocked requests get 503 requestBlocked with Retry-After at once, also before they are delegated.

--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/detector"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/vetter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
 )
@@ -27,6 +28,8 @@
 	pauses      *metrics.Counter
 	limited     *metrics.Gauge
 	unreachable *metrics.Gauge
+	suspected   *metrics.Gauge
+	blocked     *metrics.Gauge
 }
 
 func newCounters() *counters {
@@ -45,6 +48,8 @@
 		pauses:      set.NewCounter("rhubarbpost_server_pauses_total"),
 		limited:     set.NewGauge("rhubarbpost_servers_limited", nil),
 		unreachable: set.NewGauge("rhubarbpost_domains_unreachable", nil),
+		suspected:   set.NewGauge("rhubarbpost_requests_suspected", nil),
+		blocked:     set.NewGauge("rhubarbpost_requests_blocked", nil),
 	}
 }
 
@@ -127,6 +132,16 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_attempts_broken_off_total{server=%q}", end)).Inc()
 }
 
+// verdict records a changed verdict on a request.
+func (c *counters) verdict(after vetter.Verdict) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_verdicts_total{verdict=%q}", after)).Inc()
+}
+
+// recordCall records a message with records that this host has sent.
+func (c *counters) recordCall(err error) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_record_calls_total{ok=\"%t\"}", err == nil)).Inc()
+}
+
 func (c *counters) storeCall(call string, err error) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_store_calls_total{call=%q,ok=\"%t\"}", call, err == nil)).Inc()
 }
--- a/internal/forwarder/ends.go
+++ b/internal/forwarder/ends.go
@@ -17,9 +17,9 @@
 // serverEnd is what is known about the end of a server that has broken off an answer.
 type serverEnd string
 
-// What a new connection to a server shows.
+// What a new connection to a server shows; empty if the answer wasn't broken off.
 const (
-	// endUnknown means that the server hasn't answered, or wasn't asked.
+	// endUnknown means that the server hasn't answered.
 	endUnknown serverEnd = "unknown"
 	// endAlive means that the server accepts connections.
 	endAlive serverEnd = "alive"
@@ -40,11 +40,10 @@
 // checkBrokenOff sets whether the server has broken off a failed exchange. If so, it opens
 // and closes a connection to find out whether the server has ended.
 func (c *client) checkBrokenOff(ctx context.Context, a *Answer, server *lister.Server) {
-	a.Ended = endUnknown
 	if ctx.Err() != nil || !brokeOff(a.Err) {
 		return
 	}
-	a.BrokenOff = true
+	a.BrokenOff, a.Ended = true, endUnknown
 	err := dialProbe(ctx, c.reachedAt(server.Address), endCheckTimeout)
 	switch {
 	case err == nil:
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -189,6 +189,12 @@
 	// askHosts asks other hosts for tokens; asking is true while it runs.
 	askHosts func(ctx context.Context, asks []allotter.Ask) (grants []allotter.Grant, unanswered []allotter.Ask)
 	asking   bool
+	// sendRecords sends the records of requests under which servers have ended to other hosts;
+	// sending counts the calls that run.
+	sendRecords func(ctx context.Context, records []vetter.Record)
+	sending     int
+	// blocked has the requests that handlers refuse, nil without any.
+	blocked atomic.Pointer[blockedRequests]
 	// checkStore reads from the store until a read succeeds. It pushes a storeState
 	// event when the first read fails, and another one when a later read succeeds.
 	checkStore func()
@@ -218,7 +224,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &engine{
 		log: cfg.Logger, domain: cfg.Settings.Domain, metrics: metrics, client: c, checkStore: checkStore, probeOtherDomains: probeOtherDomains,
-		delegateSlice: f.delegateSlice, relay: f.relay, askHosts: f.askForTokens,
+		delegateSlice: f.delegateSlice, relay: f.relay, askHosts: f.askForTokens, sendRecords: f.sendRecords,
 		queue:       queuer.New[event](eventQueueCapacity),
 		machine:     scatterer.New(cfg.Settings.scatterer(), servers),
 		servers:     servers,
@@ -270,12 +276,14 @@
 		case <-expiry.C:
 			e.updateServers(e.servers.Expire(time.Now()), "lapsed")
 			e.metrics.updateBudget(e.machine)
+			e.machine.Vetter().Expire(time.Now())
 		case <-assessment.C:
 			e.assess(time.Now())
 			e.askForTokens(time.Now())
 		case <-e.ctx.Done():
 			return
 		}
+		e.spreadRecords(time.Now())
 	}
 }
 
@@ -288,6 +296,7 @@
 		e.act(e.machine.Step(now, &scatterer.Arrived{
 			Request: item.id, Route: item.route, CallerTimeLeft: item.call.Remaining, ObjectiveSpent: item.objectiveSpent, BudgetShare: item.budgetShare, Slice: item.slice, Unconfirmed: item.unconfirmed,
 			Forwarded: item.delegated, MaxAttempts: item.relay.maxAttempts, Repeat: item.relay.repeat,
+			Fingerprint: item.fingerprint, Method: item.outbound.method, Target: item.outbound.url.RequestURI(),
 		}))
 	case attemptEnd:
 		end := e.ended(item)
@@ -309,25 +318,35 @@
 		e.act(e.machine.Step(now, &scatterer.Confirmed{Request: item.id}))
 	case *listing:
 		e.applyListing(now, item)
-	case storeState:
-		e.assessor.StoreReachable(now, item.reachable)
-	case peersProbed:
-		e.assessor.PeersProbed(now, item.reached)
-	case peerNotReady:
-		e.assessor.PeerNotReady(now)
+	case storeState, peersProbed, peerNotReady, delegationEnd:
+		e.stepAssessor(now, item)
 	case drainNotice:
 		e.markDraining(item.id, item.startedAtMillis, item.host)
 	case tokensAnswered, limitNotice, hostCount:
 		e.stepLimits(now, item)
 	case relayEnd, pathProbed:
 		e.stepReach(now, item)
-	case delegationEnd:
-		e.assessor.RequestEnded(now, item.served)
+	case vetterCall, recordsSent:
+		e.stepVetting(now, item)
 	case policyChange:
 		e.machine.Reconfigure(item.cfg)
 	}
 }
 
+// stepAssessor handles the events that concern the readiness of this host.
+func (e *engine) stepAssessor(now time.Time, item event) {
+	switch item := item.(type) {
+	case storeState:
+		e.assessor.StoreReachable(now, item.reachable)
+	case peersProbed:
+		e.assessor.PeersProbed(now, item.reached)
+	case peerNotReady:
+		e.assessor.PeerNotReady(now)
+	case delegationEnd:
+		e.assessor.RequestEnded(now, item.served)
+	}
+}
+
 // ended records the answer of an attempt and returns the scatterer's event for it,
 // or nil if nothing waits for the answer.
 func (e *engine) ended(item attemptEnd) *scatterer.AttemptEnded {
@@ -353,11 +372,12 @@
 	if a.Code != classifier.OK && !s.relayed {
 		e.log.Info(logger.AttemptFailed, "request", r.call.ID, "server", s.server.ID,
 			"domain", s.server.Domain, "result", a.Code, "status", a.Status, "error", a.Err,
-			"fingerprint", r.fingerprint, "brokenOff", a.BrokenOff, "serverEnd", a.Ended)
+			"fingerprint", r.fingerprint, "serverEnd", a.Ended)
 	}
 	return &scatterer.AttemptEnded{
 		Attempt: item.attempt, Code: a.Code, FinalResponse: a.FinalResponse,
 		ConnectionRefused: errors.Is(a.Err, syscall.ECONNREFUSED), Exhausted: a.Exhausted, Unacknowledged: a.Unacknowledged, Evidence: a.Evidence, Load: a.Load,
+		ServerEnded: a.Ended == endEnded, Doubted: a.Doubted,
 	}
 }
 
@@ -419,6 +439,8 @@
 			e.probePath(a)
 		case *scatterer.ReachChanged:
 			e.reachChanged(a)
+		case *scatterer.VerdictChanged:
+			e.verdictChanged(a)
 		case *scatterer.Cancel:
 			s, ok := e.outstanding[a.Attempt]
 			if ok {
@@ -531,10 +553,12 @@
 	a.Failure = e.delayRetry(time.Now(), a.Failure)
 	e.metrics.refused(a.Failure.Code)
 	e.log.Warn(logger.RequestRefused, "request", r.call.ID, "route", r.route.Name, "version", r.version,
-		"result", a.Failure.Code, "detail", a.Failure.Detail, "notRun", a.Failure.Code.NotRun(),
+		"result", a.Failure.Code, "detail", a.Failure.Detail, "notRun", a.Failure.Code.NotRun(), "fingerprint", r.fingerprint,
 		"retryAfterMillis", a.Failure.RetryAfter.Milliseconds(), "missing", describeMissing(a.Missing),
 		"tookMillis", a.Took.Milliseconds(), "leftMillis", (r.call.Remaining - a.Took).Milliseconds())
-	e.assessor.RequestEnded(time.Now(), false)
+	if !vetted(a.Failure.Code) {
+		e.assessor.RequestEnded(time.Now(), false)
+	}
 	r.reply <- reply{failure: a.Failure, draining: r.draining, limits: e.limitsOf(r, a.Missing)}
 	e.forget(a.Request)
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -142,6 +142,7 @@
 	f.workers.Go(func() { f.follow(ctx, cfg.Layout.ServerPrefix) })
 	f.workers.Go(func() { f.compareWithPeers(ctx) })
 	f.workers.Go(func() { f.registerAndList(ctx) })
+	f.workers.Go(func() { f.compareRecords(ctx) })
 	return f, nil
 }
 
@@ -155,6 +156,9 @@
 	})
 	calls := http.NewServeMux()
 	calls.HandleFunc("POST "+tokensPath, f.serveTokens)
+	calls.HandleFunc("POST "+recordsPath, f.serveRecords)
+	calls.HandleFunc("GET "+verdictsPath, f.serveVerdicts)
+	calls.HandleFunc("POST "+verdictsPath, f.serveDecision)
 	calls.Handle(exchangerconnect.NewControlHandler(control{f: f}, connector.HandlerOptions(nil)))
 	settings := *f.settings.Load()
 	addresses := &settings.Listen
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -39,6 +39,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	a, failure := f.accept(w, r)
+	if failure == nil {
+		failure = f.engine.blockedFailure(a.received, a.fingerprint)
+	}
 	if failure != nil {
 		f.refuse(w, a, failure)
 		return
@@ -175,7 +178,7 @@
 // refuse refuses a request that did not reach the engine of this host.
 func (f *Forwarder) refuse(w http.ResponseWriter, a *arrival, failure *classifier.Failure) {
 	f.metrics.refused(failure.Code)
-	f.cfg.Logger.Warn(logger.RequestRefused, "request", a.call.ID, "result", failure.Code, "detail", failure.Detail,
+	f.cfg.Logger.Warn(logger.RequestRefused, "request", a.call.ID, "result", failure.Code, "detail", failure.Detail, "fingerprint", a.fingerprint,
 		"notRun", failure.Code.NotRun(), "retryAfterMillis", failure.RetryAfter.Milliseconds(),
 		"storeAgeMillis", time.Since(f.confirmedAt()).Milliseconds())
 	f.writeFailure(w, failure)
@@ -202,6 +205,9 @@
 		if a.slice && end.failure.Code.NotRun() {
 			w.Header().Set(notRunHeader, "1")
 		}
+		if a.slice && vetted(end.failure.Code) {
+			w.Header().Set(doubtHeader, "1")
+		}
 		if a.relay.relayed {
 			setResult(w.Header(), end.failure)
 		}
--- a/internal/forwarder/policy.go
+++ b/internal/forwarder/policy.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/detector"
@@ -74,6 +75,8 @@
 	PathDoubt *decoder.Duration `json:"pathDoubt"`
 	// Relays lets requests whose servers can't be reached be sent through another host.
 	Relays *bool `json:"relays"`
+	// VetRequests holds back requests under which backend servers have ended.
+	VetRequests *bool `json:"vetRequests"`
 	// PauseMemory is how long after a pause (Retry-After) a server without a free slot
 	// is avoided if another server is available, as it may reject requests.
 	PauseMemory *decoder.Duration `json:"pauseMemory"`
@@ -103,6 +106,8 @@
 		Placer:              p.placer(s.Domain),
 		Detector:            reach,
 		Relays:              valueOr(p.Relays, true),
+		Vetting:             valueOr(p.VetRequests, true),
+		VettingSeed:         rand.Uint64(),
 		AnswerMargin:        answerMargin,
 		SubRequestMargin:    subRequestMargin,
 		HedgeFraction:       valueOr(p.HedgeFraction, defaultHedgeFraction),
--- /dev/null
+++ b/internal/forwarder/records.go
@@ -0,0 +1,240 @@
+package forwarder
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/internal/sleeper"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/delegator"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/vetter"
+)
+
+const (
+	// recordsPath is where a host exchanges the records of requests under which servers have
+	// ended, verdictsPath where operators see and change them.
+	recordsPath  = "/records"
+	verdictsPath = "/verdicts"
+	// recordTimeout limits a message with records.
+	recordTimeout = 100 * time.Millisecond
+	// recordInterval is how often a host compares its records with those of a partner,
+	// firstRecordInterval that until one has answered.
+	recordInterval      = 500 * time.Millisecond
+	firstRecordInterval = 100 * time.Millisecond
+	// maxRecordBytes bounds a message with records, several times one of full records.
+	maxRecordBytes = 1 << 20
+)
+
+// recordsMessage has changed records, or asks for those that differ from the sender's.
+type recordsMessage struct {
+	Records []vetter.Record `json:"records,omitempty"`
+	// Digest asks whether all records are the same, Summary for those that differ.
+	Digest  *uint64        `json:"digest,omitempty"`
+	Summary vetter.Summary `json:"summary,omitempty"`
+}
+
+// recordsAnswer is the answer to a recordsMessage.
+type recordsAnswer struct {
+	// Equal means that both hosts have the same records.
+	Equal   bool            `json:"equal"`
+	Records []vetter.Record `json:"records,omitempty"`
+	// Wanted are the requests of which the answering host lacks the sender's records.
+	Wanted []vetter.Fingerprint `json:"wanted,omitempty"`
+}
+
+// verdictMessage is a decision of an operator.
+type verdictMessage struct {
+	Fingerprint vetter.Fingerprint `json:"fingerprint"`
+	// Decision is "lift" or "pin".
+	Decision string `json:"decision"`
+}
+
+// Verdict is what a host knows of a request under which servers have ended.
+type Verdict struct {
+	vetter.Record
+
+	Verdict string `json:"verdict"`
+}
+
+// decisions are the decisions of operators by name.
+var decisions = map[string]vetter.Kind{"lift": vetter.Lifted, "pin": vetter.Pinned}
+
+// postJSON sends a message to another process of this system and decodes its answer.
+func postJSON[A any](ctx context.Context, client *http.Client, url string, message any, limit int64) (A, error) {
+	var answer A
+	body, err := json.Marshal(message)
+	if err != nil {
+		return answer, err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(string(body)))
+	if err != nil {
+		return answer, err
+	}
+	response, err := client.Do(r)
+	if err != nil {
+		return answer, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return answer, fmt.Errorf("%w: status %d", errCallRejected, response.StatusCode)
+	}
+	return answer, json.NewDecoder(io.LimitReader(response.Body, limit)).Decode(&answer)
+}
+
+// errCallRejected means that a host rejects a call: it doesn't know the other hosts yet, or runs
+// a build without the call.
+var errCallRejected = errors.New("the host rejects the call")
+
+// decodeJSON decodes a message of at most limit bytes.
+func decodeJSON[M any](w http.ResponseWriter, r *http.Request, limit int64) (M, error) {
+	var message M
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit)).Decode(&message)
+	return message, err
+}
+
+func encodeJSON(w http.ResponseWriter, answer any) {
+	w.Header().Set("Content-Type", "application/json")
+	// An error means that the other process is gone.
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+// serveRecords answers a message with records of another host.
+func (f *Forwarder) serveRecords(w http.ResponseWriter, r *http.Request) {
+	message, err := decodeJSON[recordsMessage](w, r, maxRecordBytes)
+	if err != nil {
+		f.cfg.Logger.Warn(logger.RecordsRejected, "peer", r.RemoteAddr, "error", err)
+		http.Error(w, fmt.Sprintf("not a message with records: %v", err), http.StatusBadRequest)
+		return
+	}
+	var answer recordsAnswer
+	ok := f.engine.callVetter(r.Context(), func(now time.Time, v *vetter.Vetter) {
+		f.mergeRecords(now, v, r.RemoteAddr, message.Records)
+		switch {
+		case message.Digest != nil:
+			answer.Equal = *message.Digest == v.Digest()
+		case message.Summary != nil:
+			answer.Records, answer.Wanted = v.Compare(now, message.Summary)
+		}
+	})
+	if !ok {
+		http.Error(w, "the host stops", http.StatusServiceUnavailable)
+		return
+	}
+	encodeJSON(w, answer)
+}
+
+// mergeRecords merges records of another host and logs those that can't be used.
+func (f *Forwarder) mergeRecords(now time.Time, v *vetter.Vetter, peer string, records []vetter.Record) {
+	for _, err := range v.Merge(now, records) {
+		f.cfg.Logger.Warn(logger.RecordsRejected, "peer", peer, "error", err)
+	}
+}
+
+// serveVerdicts lists the requests under which servers have ended.
+func (f *Forwarder) serveVerdicts(w http.ResponseWriter, r *http.Request) {
+	verdicts := []Verdict{}
+	f.engine.callVetter(r.Context(), func(now time.Time, v *vetter.Vetter) {
+		for _, record := range v.All(now) {
+			verdicts = append(verdicts, Verdict{Record: record, Verdict: v.Judge(now, record.Fingerprint).String()})
+		}
+	})
+	encodeJSON(w, verdicts)
+}
+
+// serveDecision applies a decision of an operator, which then spreads to all hosts.
+func (f *Forwarder) serveDecision(w http.ResponseWriter, r *http.Request) {
+	message, err := decodeJSON[verdictMessage](w, r, maxRecordBytes)
+	kind, ok := decisions[message.Decision]
+	if err != nil || !ok {
+		http.Error(w, fmt.Sprintf("decision %q (allowed: lift, pin), error %v", message.Decision, err), http.StatusBadRequest)
+		return
+	}
+	f.cfg.Logger.Warn(logger.VerdictDecided, "fingerprint", message.Fingerprint, "decision", message.Decision, "by", r.RemoteAddr)
+	f.engine.callVetter(r.Context(), func(now time.Time, v *vetter.Vetter) { v.Decide(now, message.Fingerprint, kind) })
+	encodeJSON(w, message)
+}
+
+// sendRecords sends changed records to other hosts, which send on what is new to them.
+func (f *Forwarder) sendRecords(ctx context.Context, records []vetter.Record) {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	var sends sync.WaitGroup
+	for _, host := range vetter.Targets(random, f.self(), f.knownHosts()) {
+		sends.Go(func() {
+			_, err := f.exchangeRecords(ctx, host.Address, recordsMessage{Records: records})
+			if err != nil {
+				f.cfg.Logger.Debug(logger.RecordsUnsent, "peer", host.Name, "records", len(records), "error", err)
+			}
+		})
+	}
+	sends.Wait()
+}
+
+// knownHosts returns the listed hosts, the seeds while this host isn't listed.
+func (f *Forwarder) knownHosts() []delegator.Host {
+	name := f.Settings().Name
+	hosts := f.delegate.listedHosts()
+	if slices.ContainsFunc(hosts, func(h delegator.Host) bool { return h.Name == name }) {
+		return hosts
+	}
+	return f.seedHosts()
+}
+
+// exchangeRecords sends a message with records to another host.
+func (f *Forwarder) exchangeRecords(ctx context.Context, address string, message recordsMessage) (recordsAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	answer, err := postJSON[recordsAnswer](ctx, f.tokens.client, "http://"+address+recordsPath, message, maxRecordBytes)
+	f.metrics.recordCall(err)
+	return answer, err
+}
+
+// compareRecords compares the records of this host with those of its partners until ctx is
+// done, so that a host also learns what it has missed while it was down or partitioned.
+func (f *Forwarder) compareRecords(ctx context.Context) {
+	interval := firstRecordInterval
+	for turn := 0; ctx.Err() == nil; turn++ {
+		partners := vetter.Partners(f.self(), f.knownHosts())
+		for i := range partners {
+			err := f.compareRecordsWith(ctx, partners[(turn+i)%len(partners)].Address)
+			if err == nil {
+				interval = recordInterval
+				break
+			}
+		}
+		sleeper.Sleep(ctx, interval)
+	}
+}
+
+// compareRecordsWith gets the records in which a partner differs, and sends it those that it
+// lacks.
+func (f *Forwarder) compareRecordsWith(ctx context.Context, address string) error {
+	var digest uint64
+	var summary vetter.Summary
+	f.engine.callVetter(ctx, func(_ time.Time, v *vetter.Vetter) { digest, summary = v.Digest(), v.Summary() })
+	answer, err := f.exchangeRecords(ctx, address, recordsMessage{Digest: &digest})
+	if err != nil || answer.Equal {
+		return err
+	}
+	answer, err = f.exchangeRecords(ctx, address, recordsMessage{Summary: summary})
+	if err != nil {
+		return err
+	}
+	var records []vetter.Record
+	f.engine.callVetter(ctx, func(now time.Time, v *vetter.Vetter) {
+		f.mergeRecords(now, v, address, answer.Records)
+		records = v.Records(now, answer.Wanted)
+	})
+	if len(records) > 0 {
+		_, err = f.exchangeRecords(ctx, address, recordsMessage{Records: records})
+	}
+	return err
+}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -137,7 +137,7 @@
 // relayOutcome returns what the answer of a peer tells about its reach.
 func (f *Forwarder) relayOutcome(answer *Answer) scatterer.RelayOutcome {
 	switch {
-	case answer.Status < http.StatusMultipleChoices || answer.FinalResponse:
+	case answer.Status < http.StatusMultipleChoices || answer.FinalResponse || vetted(answer.Code):
 		return scatterer.RelayServed
 	case answer.Code == classifier.NoServer || answer.Code == classifier.ServerUnreachable:
 		return scatterer.RelayUnserved
--- a/internal/forwarder/slice.go
+++ b/internal/forwarder/slice.go
@@ -39,6 +39,8 @@
 
 var errSliceRefused = errors.New("the gathering host refused the slice, which has not run")
 
+var errSliceDoubted = errors.New("the gathering host gave the slice up, as servers may have ended under it")
+
 var errNoHost = errors.New("no usable gathering host is listed in the failure domain")
 
 // delegateSlice has a host of another failure domain gather the shards of a slice
@@ -93,9 +95,13 @@
 
 // sliceAnswers returns one answer for each shard of a slice from that of the other host.
 func sliceAnswers(subRequests []int, answer *Answer) ([]*Answer, error) {
+	doubted := answer.Header.Get(doubtHeader) != ""
 	switch {
 	case answer.Header.Get(notRunHeader) != "":
-		return failedSlice(subRequests, &Answer{Code: classifier.NotSent, Err: errSliceRefused}), nil
+		return failedSlice(subRequests, &Answer{Code: classifier.NotSent, Err: errSliceRefused, Doubted: doubted}), nil
+	case doubted:
+		// The other host has sent each sub-request to one server at most.
+		return failedSlice(subRequests, &Answer{Code: classifier.ServerFailed, Err: errSliceDoubted, Doubted: true}), nil
 	case answer.Status != http.StatusOK:
 		// The other host has run the slice and reports a failure.
 		return failedSlice(subRequests, &Answer{Code: classifier.ServerFailed, Exhausted: true}), nil
--- a/internal/forwarder/tokens.go
+++ b/internal/forwarder/tokens.go
@@ -1,12 +1,8 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -38,10 +34,6 @@
 	maxIdleConnsPerAllotter = 2
 )
 
-// errNotAllotting means that a host can't allot tokens: it doesn't know the hosts yet, or
-// runs a build without limits.
-var errNotAllotting = errors.New("the host allots no tokens")
-
 // tokenAsk asks a host for tokens.
 type tokenAsk struct {
 	// Host is the name of the host that needs the tokens.
@@ -140,7 +132,7 @@
 // tokensOf gets tokens from the first of the hosts that answers, which may be this one.
 func (f *Forwarder) tokensOf(ctx context.Context, hosts []delegator.Host, ask tokenAsk) (tokenGrant, error) {
 	self := f.Settings().Name
-	err := errNotAllotting
+	err := errCallRejected
 	tried := 0
 	for _, host := range hosts {
 		if host.Name == self {
@@ -163,33 +155,15 @@
 
 // call asks one host.
 func (b *tokenBroker) call(ctx context.Context, address string, ask tokenAsk) (tokenGrant, error) {
-	var answer tokenGrant
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	body, err := json.Marshal(ask)
-	if err != nil {
-		return answer, err
-	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+tokensPath, bytes.NewReader(body))
-	if err != nil {
-		return answer, err
-	}
-	response, err := b.client.Do(r)
-	if err != nil {
-		return answer, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return answer, fmt.Errorf("%w: status %d", errNotAllotting, response.StatusCode)
-	}
-	return answer, json.NewDecoder(io.LimitReader(response.Body, maxAskBytes)).Decode(&answer)
+	return postJSON[tokenGrant](ctx, b.client, "http://"+address+tokensPath, ask, maxAskBytes)
 }
 
 // serveTokens answers an ask of another host. That host has found those preferred to this
 // one unreachable; if they are not, the ask is passed on, so that a single host allots.
 func (f *Forwarder) serveTokens(w http.ResponseWriter, r *http.Request) {
-	var ask tokenAsk
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAskBytes)).Decode(&ask)
+	ask, err := decodeJSON[tokenAsk](w, r, maxAskBytes)
 	if err != nil || ask.Host == "" || len(ask.Asks) == 0 {
 		http.Error(w, fmt.Sprintf("not an ask for tokens: %v", err), http.StatusBadRequest)
 		return
@@ -199,9 +173,7 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	// An error means that the other host is gone.
-	_ = json.NewEncoder(w).Encode(answer)
+	encodeJSON(w, answer)
 }
 
 func (f *Forwarder) answerAsk(ctx context.Context, ask tokenAsk) (tokenGrant, error) {
@@ -209,7 +181,7 @@
 	hosts := allotters.Preference(allotters.Group(ask.Asks[0].Server))
 	switch {
 	case len(hosts) == 0:
-		return tokenGrant{}, errNotAllotting
+		return tokenGrant{}, errCallRejected
 	case ask.Relayed:
 		return tokenGrant{f.tokens.allot(ask.Host, ask.Asks)}, nil
 	}
--- a/internal/forwarder/types.go
+++ b/internal/forwarder/types.go
@@ -66,6 +66,9 @@
 	// it may then have used one attempt.
 	Exhausted      bool
 	Unacknowledged bool
+	// Doubted is true if another host has given the sub-request up since servers may have
+	// ended under it.
+	Doubted bool
 }
 
 // Dialect translates between the headers of a platform and the types of this
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -76,8 +76,14 @@
 	ServersRegained      Event = 544
 	RequestRelayed       Event = 545
 	PeerHeaderRejected   Event = 546
+	RequestSuspected     Event = 547
+	RequestBlocked       Event = 548
+	RequestCleared       Event = 549
 	LinesDropped         Event = 550
 	LibraryLogged        Event = 551
+	RecordsRejected      Event = 552
+	RecordsUnsent        Event = 553
+	VerdictDecided       Event = 554
 )
 
 // Definition describes one log event.
@@ -143,8 +149,14 @@
 	{ServersRegained, "serversRegained", "Backend servers of the failure domain can be reached again."},
 	{RequestRelayed, "requestRelayed", "A request, or the parts of it whose servers this host can't reach, was sent through a peer."},
 	{PeerHeaderRejected, "peerHeaderRejected", "Another host has sent header lines that can't be read; they are ignored."},
+	{RequestSuspected, "requestSuspected", "Backend servers have ended while they ran a request, which runs at one server at a time from now on; the line has the evidence."},
+	{RequestBlocked, "requestBlocked", "Backend servers have ended again and again while they ran a request, or an operator has decided so; it is sent to no server from now on."},
+	{RequestCleared, "requestCleared", "A run of a request has ended well, another request accounts for the ends of the servers, or an operator has lifted the verdict."},
 	{LinesDropped, "linesDropped", "Log lines were dropped to limit the log volume."},
 	{LibraryLogged, "libraryNoted", "A library wrote a log line, such as net/http about a connection with bytes that belong to no request."},
+	{RecordsRejected, "recordsRejected", "Another host has sent a record of a request under which servers have ended that can't be read; the others of the message are used."},
+	{RecordsUnsent, "recordsUnsent", "Another host has not taken changed records; it gets them in a later comparison."},
+	{VerdictDecided, "verdictDecided", "An operator has lifted the verdict on a request, or blocked the request."},
 }
 
 // Catalogue returns the definitions of all log events in ascending order.
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -3,12 +3,14 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/allotter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/detector"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/placer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/vetter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
@@ -82,6 +84,8 @@
 	code classifier.Code
 	// done means that the sub-request is answered or has failed for good.
 	done bool
+	// held means that it isn't sent again until another sub-request has ended well.
+	held bool
 	// relayed means that it is sent through a peer first, awaitsRelay that it is to be sent
 	// through one since no server can be reached.
 	relayed     bool
@@ -104,8 +108,18 @@
 	// unconfirmed is set for a slice until the host that sent it confirms that it waits for
 	// the answer. Until then, at most one server may run each sub-request.
 	unconfirmed bool
-	// forwarded means that another host has sent the request.
+	// forwarded means that another host has sent the request, slice that it is a slice.
 	forwarded bool
+	slice     bool
+	// fingerprint identifies the request to the vetter, method and target to operators. A canary runs at one server at a time until
+	// a sub-request has ended well; canaries counts those sent so, trial is the ID of its trial.
+	fingerprint    vetter.Fingerprint
+	method, target string
+	canary         bool
+	canaries       int
+	trial          uint64
+	// held counts the sub-requests that were held back.
+	held int
 	// maxAttempts is how many servers may run each sub-request.
 	maxAttempts int
 	// relayAt is when the sub-requests that await a relay are sent through a peer, zero if
@@ -155,6 +169,7 @@
 	placer    *placer.Placer
 	detector  *detector.Detector
 	limits    *allotter.Ledger
+	vetter    *vetter.Vetter
 	// waiting is the number of requests that wait for tokens.
 	waiting int
 	// requests has the requests in flight by ID, attempts the outstanding attempts.
@@ -182,6 +197,7 @@
 		placer:    placer.New(cfg.Placer),
 		detector:  detector.New(cfg.Detector, directory),
 		limits:    allotter.NewLedger(cfg.Hosts),
+		vetter:    vetter.New(rand.New(rand.NewPCG(cfg.VettingSeed, cfg.VettingSeed))),
 		requests:  make(map[uint64]*request),
 		attempts:  make(map[uint64]*attempt),
 		routes:    make(map[routeKey]*routeStats),
@@ -262,6 +278,8 @@
 		m.handleRelayEnded(now, e)
 	case *TokensAsked:
 		m.resumeAll(now)
+	case *RecordsMerged:
+		m.applyVerdicts(now)
 	case *Abandoned:
 		r := m.requests[e.Request]
 		if r != nil {
@@ -285,10 +303,13 @@
 
 // begin sends the first attempts of a request, makes it wait for tokens, or refuses it.
 func (m *Machine) begin(now time.Time, r *request, e *Arrived) {
+	if !m.vet(now, r) {
+		return
+	}
 	choices := m.chooseAll(now, r)
 	relayed := m.planRelay(now, r, choices)
 	var planned *slice
-	if !e.Slice && !late(r.expectedLatency(choices), r.earlyAnswerAt.Sub(now), m.cfg.SliceFactor) {
+	if !e.Slice && !r.canary && !late(r.expectedLatency(choices), r.earlyAnswerAt.Sub(now), m.cfg.SliceFactor) {
 		planned = m.planSlice(now, r, choices)
 	}
 	limited := m.applyLimits(now, r, choices, planned)
@@ -327,6 +348,10 @@
 		m.refuse(now, r, classifier.Overloaded)
 		return
 	}
+	if r.canary && relayed < len(choices) {
+		m.sendCanary(now, r, choices)
+		return
+	}
 	m.sendAll(now, r, choices, planned)
 	m.finishOrWait(now, r)
 }
@@ -426,13 +451,14 @@
 
 func (m *Machine) newRequest(now time.Time, e *Arrived) *request {
 	route := e.Route
-	r := &request{id: e.Request, route: route, arrived: now, coverage: 1, stats: m.routeStats(route), unconfirmed: e.Unconfirmed, forwarded: e.Forwarded, maxAttempts: route.Attempts}
+	r := &request{id: e.Request, route: route, arrived: now, coverage: 1, stats: m.routeStats(route), unconfirmed: e.Unconfirmed, forwarded: e.Forwarded, slice: e.Slice, maxAttempts: route.Attempts}
 	if e.MaxAttempts > 0 {
 		r.maxAttempts = min(e.MaxAttempts, route.Attempts)
 	}
 	r.deadline = now.Add(min(e.CallerTimeLeft-m.margin(e.CallerTimeLeft), route.Timeout))
 	r.hedgeAt = now.Add(time.Duration(m.cfg.HedgeFraction * float64(route.Objective)))
 	r.timer.Owner = r
+	r.fingerprint, r.method, r.target = e.Fingerprint, e.Method, e.Target
 	switch target := route.Target.(type) {
 	case *matcher.Single:
 		r.subRequests = []subRequest{{service: target.Service}}
@@ -566,6 +592,9 @@
 	} else {
 		r.mayHaveRun = true
 	}
+	if m.cfg.Vetting && e.ServerEnded && a.server != nil && m.serverEnded(now, r, a) {
+		return nil
+	}
 	switch {
 	case r.refusal != 0 && e.Code != classifier.OK:
 	case sub.done:
@@ -634,6 +663,8 @@
 	r.answeredCount++
 	m.markDone(r, sub, classifier.OK)
 	m.cancelOutstanding(now, r, sub)
+	m.ranWell(now, r)
+	m.hedgeIfDue(now, r)
 }
 
 func (m *Machine) markDone(r *request, sub *subRequest, code classifier.Code) {
@@ -664,8 +695,9 @@
 	sub.code = e.Code
 	if e.FinalResponse {
 		sub.answer = a.id
+		m.ranWell(now, r)
 	}
-	if len(sub.outstanding) > 0 {
+	if len(sub.outstanding) > 0 || m.hold(r, sub, e) {
 		return
 	}
 	code := m.retry(now, r, a.subRequest, e)
@@ -699,7 +731,7 @@
 
 // finishOrWait ends a request whose outcome is decided, or sets its next timer.
 func (m *Machine) finishOrWait(now time.Time, r *request) {
-	if r == nil {
+	if r == nil || m.requests[r.id] != r {
 		return
 	}
 	total := len(r.subRequests)
@@ -716,6 +748,8 @@
 		m.complete(now, r, true)
 	case !now.Before(r.deadline):
 		m.refuse(now, r, classifier.DeadlineExceeded)
+	case m.nothingRuns(r):
+		m.isolate(now, r)
 	default:
 		m.setTimer(now, r)
 	}
@@ -756,7 +790,7 @@
 // hedgeIfDue sends the hedges of a request once they are due, but only one time and not
 // while the request is unconfirmed.
 func (m *Machine) hedgeIfDue(now time.Time, r *request) {
-	if r.unconfirmed || r.hedgeAt.IsZero() || now.Before(r.hedgeAt) {
+	if r.unconfirmed || r.hedgeAt.IsZero() || now.Before(r.hedgeAt) || !m.mayHedge(r) {
 		return
 	}
 	r.hedgeAt = time.Time{}
@@ -846,8 +880,11 @@
 		return
 	}
 	retryAfter := m.retryAfter(now, r)
+	if vetted(code) {
+		retryAfter = max(m.vetter.RetryAfter(now, r.fingerprint), r.retryAfter)
+	}
 	if r.mayHaveRun && code.NotRun() {
-		code = classifier.ServerFailed
+		code = runCode(code)
 	}
 	switch {
 	case r.mayHaveRun:
@@ -930,6 +967,7 @@
 		m.cancelOutstanding(now, r, &r.subRequests[i])
 	}
 	m.stopWaiting(r)
+	m.endTrial(r)
 	m.timers.Clear(&r.timer)
 	delete(m.requests, r.id)
 }
--- a/pkg/coordination/scatterer/scatterer_test.go
+++ b/pkg/coordination/scatterer/scatterer_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/placer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/vetter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
@@ -89,7 +90,12 @@
 }
 
 func arrive(m *Machine, now time.Time, request uint64, route *matcher.Route) []Action {
-	return clone(m.Step(now, &Arrived{Request: request, Route: route, CallerTimeLeft: callerTimeout, BudgetShare: 1}))
+	return arriveAs(m, now, request, route, vetter.Fingerprint{})
+}
+
+// arriveAs has a request arrive that has a fingerprint.
+func arriveAs(m *Machine, now time.Time, request uint64, route *matcher.Route, f vetter.Fingerprint) []Action {
+	return clone(m.Step(now, &Arrived{Request: request, Route: route, CallerTimeLeft: callerTimeout, BudgetShare: 1, Fingerprint: f, Method: "GET", Target: "/"}))
 }
 
 func clone(actions []Action) []Action { return append([]Action(nil), actions...) }
@@ -578,15 +584,16 @@
 	}
 }
 
-// TestInvariantsUnderAnyOutcome runs random requests and outcomes and checks the
-// invariants of the machine.
+// TestInvariantsUnderAnyOutcome runs random requests and outcomes, which include ends of
+// servers, and checks the invariants of the machine.
 func TestInvariantsUnderAnyOutcome(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := newDirectory("abcd", rapid.IntRange(1, 3).Draw(t, "servers"))
 		m := testMachine(d)
+		m.cfg.Vetting = rapid.Bool().Draw(t, "vetting")
 		p := &harness{
 			t: t, m: m, outstanding: make(map[uint64]*Send), mayHaveRun: make(map[uint64]bool), endedMayHaveRun: make(map[uint64]bool), outcomes: make(map[uint64]int),
-			servers: make(map[string]map[string]bool), routes: make(map[uint64]*matcher.Route),
+			servers: make(map[string]map[string]bool), routes: make(map[uint64]*matcher.Route), prints: make(map[uint64]vetter.Fingerprint),
 		}
 		now := start
 		requests := uint64(0)
@@ -599,7 +606,8 @@
 				p.routes[requests] = rapid.SampledFrom([]*matcher.Route{
 					single(true, 2), single(false, 2), sharded("abcd", 0.75), sharded("ab", 1),
 				}).Draw(t, "route")
-				p.apply(arrive(m, now, requests, p.routes[requests]))
+				p.prints[requests] = vetter.Fingerprint{1 + byte(rapid.IntRange(0, 2).Draw(t, "fingerprint"))}
+				p.apply(arriveAs(m, now, requests, p.routes[requests], p.prints[requests]))
 			case 1:
 				p.apply(clone(m.Step(now, &TimerFired{})))
 			case 2:
@@ -642,6 +650,7 @@
 	outcomes        map[uint64]int
 	servers         map[string]map[string]bool
 	routes          map[uint64]*matcher.Route
+	prints          map[uint64]vetter.Fingerprint
 }
 
 func (p *harness) apply(actions []Action) {
@@ -655,6 +664,9 @@
 			if p.servers[key][a.Server.ID] {
 				p.t.Fatalf("request %d is sent to %s again", a.Request, a.Server.ID)
 			}
+			if p.m.vetter.Judge(p.now, p.prints[a.Request]) == vetter.Blocked {
+				p.t.Fatalf("request %d is sent although it is blocked", a.Request)
+			}
 			if !p.routes[a.Request].Idempotent && p.mayHaveRun[a.Request] {
 				p.t.Fatalf("request %d is sent again although it may have run", a.Request)
 			}
@@ -665,8 +677,12 @@
 		case *Cancel:
 			send := p.outstanding[a.Attempt]
 			delete(p.outstanding, a.Attempt)
-			if a.Await && send != nil {
+			switch {
+			case send == nil:
+			case a.Await:
 				p.endCanceled(send)
+			default:
+				p.endedMayHaveRun[send.Request] = true
 			}
 		case *Complete:
 			p.outcomes[a.Request]++
@@ -708,7 +724,8 @@
 	if !p.othersMayHaveRun(send) {
 		p.mayHaveRun[send.Request] = false
 	}
-	p.apply(end(p.m, p.now, send, code))
+	ended := code == classifier.ServerFailed && rapid.Bool().Draw(p.t, "ended")
+	p.apply(clone(p.m.Step(p.now, &AttemptEnded{Attempt: send.Attempt, Code: code, ServerEnded: ended})))
 }
 
 // othersMayHaveRun reports whether an attempt of the request that has ended or is still
--- a/pkg/coordination/scatterer/types.go
+++ b/pkg/coordination/scatterer/types.go
@@ -5,6 +5,7 @@
 
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/detector"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/placer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/vetter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
@@ -35,6 +36,10 @@
 	// Hosts is the number of hosts that are assumed to share the limits of servers until
 	// SetHosts is called.
 	Hosts int
+	// Vetting holds back requests under which servers have ended; VettingSeed seeds the IDs of
+	// their trials.
+	Vetting     bool
+	VettingSeed uint64
 	// Extra bounds the hedges and retries.
 	Extra ExtraBudget
 	// MinSliceSubRequests is the least number of sub-requests that are sent together, as
@@ -90,6 +95,11 @@
 	// Repeat means that the other host has counted the request for the budget of extra
 	// attempts.
 	Repeat bool
+	// Fingerprint identifies what the request asks for. Method and Target, its path and query,
+	// tell operators.
+	Fingerprint vetter.Fingerprint
+	Method      string
+	Target      string
 }
 
 // Confirmed means that the host that sent a slice waits for its answer.
@@ -109,6 +119,11 @@
 	ConnectionRefused bool
 	// Exhausted means that another host may have used all attempts of the sub-request.
 	Exhausted bool
+	// ServerEnded means that the server has ended while it ran the attempt.
+	ServerEnded bool
+	// Doubted means that another host has given the sub-request up since servers may have ended
+	// under it.
+	Doubted bool
 	// Unacknowledged means that another host has not acknowledged the sub-request: most
 	// likely it has sent it to no server, and it has sent it to one at most.
 	Unacknowledged bool
--- a/pkg/protocol/classifier/code.go
+++ b/pkg/protocol/classifier/code.go
@@ -50,6 +50,9 @@
 	StaleRoutes        Code = 1317
 	NotSent            Code = 1318
 	LimitReached       Code = 1319
+	RequestBlocked     Code = 1320
+	RequestSuspected   Code = 1321
+	RequestCrashed     Code = 1322
 )
 
 // Result codes of orders.
@@ -125,6 +128,9 @@
 	{StaleRoutes, "staleRoutes", http.StatusServiceUnavailable, NotRun, "No route matches, and the configuration may be out of date."},
 	{NotSent, "notSent", http.StatusServiceUnavailable, NotRun, "The time ended before the request was sent to a backend server."},
 	{LimitReached, "limitReached", http.StatusServiceUnavailable, NotRun, "The backend servers take no more requests now, by the limits that they announce."},
+	{RequestBlocked, "requestBlocked", http.StatusServiceUnavailable, NotRun, "Servers have ended again and again while they ran this request; it is not sent to others."},
+	{RequestSuspected, "requestSuspected", http.StatusServiceUnavailable, NotRun, "Servers have ended while they ran this request; it runs at one server at a time."},
+	{RequestCrashed, "requestCrashed", http.StatusBadGateway, Unknown, "Servers have ended while they ran this request; it was given up."},
 	{OrderDone, "orderDone", http.StatusOK, Done, "The order has run."},
 	{OrderRepeated, "orderRepeated", http.StatusOK, Done, "The order ran before; this is its recorded result."},
 	{OrderNotRun, "orderNotRun", http.StatusServiceUnavailable, NotRun, "The order has not run."},
