pkg/coordination/vetter: unknown queries begin at one server while others are down under a blocked one

Cause: a query that nobody has seen is sent to all shards at once, also while half of the servers are down under a blocked one; the rule of three different requests came too late.

Change: for 4 s after a request for a service has been blocked, as long as servers take to come back, unknown queries to it begin at one server and go on once that run has ended well.

--- a/pkg/coordination/scatterer/vetting.go
+++ b/pkg/coordination/scatterer/vetting.go
@@ -32,7 +32,7 @@
 }
 
 func (r *request) subject() vetter.Subject {
-	return vetter.NewSubject(r.fingerprint, r.route.Name, r.method, r.target)
+	return vetter.NewSubject(r.fingerprint, r.route.Name, r.subRequests[0].service, r.method, r.target)
 }
 
 // vet refuses a request that may not run, and has one that is suspected run as a canary. It
@@ -52,7 +52,7 @@
 		}
 		r.canary = true
 	case vetter.Allowed:
-		r.canary = r.sharded && !r.slice && m.vetter.Wary(now, r.route.Name)
+		r.canary = r.sharded && !r.slice && m.vetter.Wary(now, r.subRequests[0].service)
 	}
 	return true
 }
--- a/pkg/coordination/scatterer/vetting_test.go
+++ b/pkg/coordination/scatterer/vetting_test.go
@@ -192,15 +192,12 @@
 	is.Equal(len(of[*Send](end(origin, start, sends[2], classifier.OK))), 2)
 }
 
-// TestUnknownQueryOfAWaryRouteBeginsAtOneServer has other queries of the route end servers.
-func TestUnknownQueryOfAWaryRouteBeginsAtOneServer(t *testing.T) {
+// TestUnknownQueryBeginsAtOneServerWhileOthersAreDown has another query end servers.
+func TestUnknownQueryBeginsAtOneServerWhileOthersAreDown(t *testing.T) {
 	is := is.New(t)
 	m := vettingMachine(newDirectory("abcd", 2))
-	for i := range 3 {
-		s := vetter.NewSubject(vetter.Fingerprint{10 + byte(i)}, "r", "GET", "/")
-		for end := range vetter.End(3) {
-			m.vetter.ServerEnded(start, s, vetter.End(100*i)+end, true)
-		}
+	for end := range vetter.End(3) {
+		m.vetter.ServerEnded(start, vetter.NewSubject(deadly, "r", "a", "GET", "/"), end, true)
 	}
 	canary := only[*Send](t, arriveAs(m, start, 1, sharded("abcd", 1), vetter.Fingerprint{2}))
 	rest := of[*Send](end(m, start, canary, classifier.OK))
--- a/pkg/coordination/vetter/exchange.go
+++ b/pkg/coordination/vetter/exchange.go
@@ -162,7 +162,7 @@
 // normalized returns the record with sorted sets and clean texts, whatever the other host has
 // sent.
 func (r Record) normalized() Record {
-	r.Route, r.Request = cleanText(r.Route), cleanText(r.Request)
+	r.Route, r.Service, r.Request = cleanText(r.Route), cleanText(r.Service), cleanText(r.Request)
 	for _, set := range []*[]End{&r.Ends, &r.Trials, &r.Relapses, &r.Cleared} {
 		*set = union(nil, *set)
 	}
--- a/pkg/coordination/vetter/record.go
+++ b/pkg/coordination/vetter/record.go
@@ -34,15 +34,16 @@
 // Subject is a request with what operators need to recognise it.
 type Subject struct {
 	Fingerprint Fingerprint
-	// Route is the name of its route.
-	Route string
+	// Route is the name of its route, Service the first of the services to which it is sent.
+	Route   string
+	Service string
 	// Request is the method, path and query, shortened.
 	Request string
 }
 
 // NewSubject returns the subject of a request with a method, and a target of path and query.
-func NewSubject(f Fingerprint, route, method, target string) Subject {
-	return Subject{Fingerprint: f, Route: cleanText(route), Request: cleanText(method + " " + target)}
+func NewSubject(f Fingerprint, route, service, method, target string) Subject {
+	return Subject{Fingerprint: f, Route: cleanText(route), Service: cleanText(service), Request: cleanText(method + " " + target)}
 }
 
 // cleanText returns at most maxTextBytes of a text without control characters.
@@ -99,6 +100,7 @@
 type Record struct {
 	Fingerprint Fingerprint `json:"fingerprint"`
 	Route       string      `json:"route"`
+	Service     string      `json:"service"`
 	Request     string      `json:"request"`
 	// Ends are the servers that ended while they ran the request, in ascending order.
 	Ends []End `json:"ends"`
@@ -123,7 +125,7 @@
 	switch {
 	case r.Fingerprint == Fingerprint{}:
 		return errNoFingerprint
-	case len(r.Route) > maxTextBytes || len(r.Request) > maxTextBytes:
+	case max(len(r.Route), len(r.Service), len(r.Request)) > maxTextBytes:
 		return fmt.Errorf("a text of the record of %s is longer than %d bytes", r.Fingerprint, maxTextBytes)
 	case len(r.Running) > maxRunning:
 		return fmt.Errorf("the record of %s has %d trials, more than %d", r.Fingerprint, len(r.Running), maxRunning)
--- a/pkg/coordination/vetter/vetter.go
+++ b/pkg/coordination/vetter/vetter.go
@@ -26,10 +26,9 @@
 	// displace blocked requests.
 	maxBlocked  = 1024
 	maxSuspects = 256
-	// waryWindow is the time within which waryRequests different requests of a route must have
-	// ended servers for unknown requests of it to begin at one server.
-	waryWindow   = 10 * time.Second
-	waryRequests = 3
+	// waryWindow is how long unknown requests for the same services begin at one server after a
+	// request has been blocked: as long as servers take to come back.
+	waryWindow = 4 * time.Second
 	// exposureLife is how long a server may go on to run a request that was canceled there,
 	// maxExposures bounds the canceled runs that are remembered.
 	exposureLife = 300 * time.Millisecond
@@ -185,17 +184,19 @@
 	return e != nil && (e.blocked || len(e.left) > 0)
 }
 
-// Wary reports whether so many different requests of a route have ended servers lately that
-// an unknown one begins at a single server.
-func (v *Vetter) Wary(now time.Time, route string) bool {
-	n := 0
+// Wary reports whether a blocked request has ended servers of a service so lately that they
+// aren't back, so that another one may end the last server of a shard.
+func (v *Vetter) Wary(now time.Time, service string) bool {
+	if v.blocked == 0 {
+		return false
+	}
 	for f := range v.verdicts {
 		e := v.entries[f]
-		if e != nil && e.Route == route && now.Sub(e.lastEnd) < waryWindow {
-			n++
+		if e.blocked && e.Service == service && now.Sub(e.lastEnd) < waryWindow {
+			return true
 		}
 	}
-	return n >= waryRequests
+	return false
 }
 
 // RetryAfter returns when a request that may not run now may be sent again.
@@ -280,7 +281,7 @@
 func (v *Vetter) addEnd(now time.Time, s Subject, end End, trial bool) {
 	e := v.entries[s.Fingerprint]
 	if e == nil {
-		e = v.insert(now, Record{Fingerprint: s.Fingerprint, Route: s.Route, Request: s.Request})
+		e = v.insert(now, Record{Fingerprint: s.Fingerprint, Route: s.Route, Service: s.Service, Request: s.Request})
 	}
 	added := Record{Ends: []End{end}}
 	if trial {
@@ -317,7 +318,7 @@
 // insert adds an entry; the oldest suspect makes room for it.
 func (v *Vetter) insert(now time.Time, r Record) *entry {
 	v.makeRoom()
-	e := &entry{Record: Record{Fingerprint: r.Fingerprint, Route: r.Route, Request: r.Request}, lastEnd: now}
+	e := &entry{Record: Record{Fingerprint: r.Fingerprint, Route: r.Route, Service: r.Service, Request: r.Request}, lastEnd: now}
 	v.entries[r.Fingerprint] = e
 	return e
 }
@@ -423,7 +424,7 @@
 		v.verdicts[e.Fingerprint] = after
 	}
 	v.changes = append(v.changes, Change{
-		Subject: Subject{Fingerprint: e.Fingerprint, Route: e.Route, Request: e.Request},
+		Subject: Subject{Fingerprint: e.Fingerprint, Route: e.Route, Service: e.Service, Request: e.Request},
 		Before:  before, After: after, Ends: len(e.left), Trials: len(e.left) - len(without(e.left, e.Trials)), Decision: e.Decision.Kind,
 	})
 }
--- a/pkg/coordination/vetter/vetter_test.go
+++ b/pkg/coordination/vetter/vetter_test.go
@@ -19,7 +19,7 @@
 
 // subject returns one of some requests of a route.
 func subject(i int) Subject {
-	return NewSubject(Identity{Target: fmt.Sprint("/", i)}.Fingerprint(), "r", "GET", fmt.Sprint("/", i))
+	return NewSubject(Identity{Target: fmt.Sprint("/", i)}.Fingerprint(), "r", "s", "GET", fmt.Sprint("/", i))
 }
 
 // crash has servers end under a request, the last one in a trial.
@@ -197,17 +197,18 @@
 	}
 }
 
-// TestManyDeadlyRequestsOfARouteMakeItWary blocks different requests of a route.
-func TestManyDeadlyRequestsOfARouteMakeItWary(t *testing.T) {
+// TestBlockedRequestMakesItsServicesWary checks for how long unknown requests begin at one
+// server.
+func TestBlockedRequestMakesItsServicesWary(t *testing.T) {
 	is := is.New(t)
 	v := newVetter(1)
-	for i := range waryRequests {
-		is.True(!v.Wary(start, "r"))
-		crash(v, start, subject(i), End(10*i+1), End(10*i+2), End(10*i+3))
-	}
-	is.True(v.Wary(start, "r"))
+	v.ServerEnded(start, subject(1), 1, false)
+	v.ServerEnded(start, subject(1), 2, false)
+	is.True(!v.Wary(start, "s")) // only suspected
+	v.ServerEnded(start, subject(1), 3, true)
+	is.True(v.Wary(start, "s"))
 	is.True(!v.Wary(start, "other"))
-	is.True(!v.Wary(start.Add(waryWindow), "r"))
+	is.True(!v.Wary(start.Add(waryWindow), "s"))
 }
 
 // TestMergeIsCommutativeAndIdempotent has some hosts observe evidence, and exchange records in
