internal/forwarder: a server that refuses connections has ended only if others of its failure domain accept them

Cause: a cut that resets connections and refuses new ones looks like the end of each server, and every query in flight was suspected.

Change: if the server refuses the connection that checks it, three random servers of its failure domain are tried, and it has ended only if one of them accepts.

--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -67,6 +67,8 @@
 	connsOpened *atomic.Uint64
 	connsOpen   *atomic.Int64
 	dials       *dialRegistry
+	// listed has the listed servers by failure domain.
+	listed atomic.Pointer[map[string][]*lister.Server]
 	// translate has the IP addresses of servers that are reached at other addresses.
 	translate map[string]string
 }
--- a/internal/forwarder/ends.go
+++ b/internal/forwarder/ends.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"syscall"
 	"time"
 
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/detector"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
 )
 
@@ -14,6 +16,10 @@
 // ended, several round trips between failure domains.
 const endCheckTimeout = 40 * time.Millisecond
 
+// endChecks is the number of other servers of the failure domain of which one must accept a
+// connection for a server that refuses them to have ended.
+const endChecks = 3
+
 // serverEnd is what is known about the end of a server that has broken off an answer.
 type serverEnd string
 
@@ -38,17 +44,37 @@
 }
 
 // checkBrokenOff sets whether the server has broken off a failed exchange. If so, it opens
-// and closes a connection to find out whether the server has ended.
+// and closes connections to find out whether the server has ended. If the server and others
+// of its failure domain refuse them, the path may be cut instead.
 func (c *client) checkBrokenOff(ctx context.Context, a *Answer, server *lister.Server) {
 	if ctx.Err() != nil || !brokeOff(a.Err) {
 		return
 	}
 	a.BrokenOff, a.Ended = true, endUnknown
-	err := dialProbe(ctx, c.reachedAt(server.Address), endCheckTimeout)
-	switch {
-	case err == nil:
+	switch probeServers(ctx, []string{c.reachedAt(server.Address)}, endCheckTimeout) {
+	case detector.Connected:
 		a.Ended = endAlive
-	case errors.Is(err, syscall.ECONNREFUSED):
-		a.Ended = endEnded
+	case detector.Refused:
+		others := c.othersInDomain(server)
+		if len(others) == 0 || probeServers(ctx, others, endCheckTimeout) == detector.Connected {
+			a.Ended = endEnded
+		}
+	case detector.Silent:
+	}
+}
+
+// othersInDomain returns the addresses of some random servers of the failure domain of a server.
+func (c *client) othersInDomain(server *lister.Server) []string {
+	listed := c.listed.Load()
+	if listed == nil {
+		return nil
+	}
+	servers := (*listed)[server.Domain]
+	var addresses []string
+	for _, i := range rand.Perm(len(servers)) {
+		if servers[i].ID != server.ID && len(addresses) < endChecks {
+			addresses = append(addresses, c.reachedAt(servers[i].Address))
+		}
 	}
+	return addresses
 }
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -622,4 +622,6 @@
 		e.machine.Forget(time.Now(), id)
 	}
 	e.metrics.servers.Set(float64(e.servers.UsableCount()))
+	listed := e.servers.ByDomain()
+	e.client.listed.Store(&listed)
 }
--- a/pkg/state/lister/lister.go
+++ b/pkg/state/lister/lister.go
@@ -271,6 +271,11 @@
 	return l.domains[domain]
 }
 
+// ByDomain returns the same servers of all failure domains. The map is never modified.
+func (l *Lister) ByDomain() map[string][]*Server {
+	return l.domains
+}
+
 // Domains returns the failure domains that have such servers, in alphabetical order.
 func (l *Lister) Domains() []string {
 	return slices.Sorted(maps.Keys(l.domains))
