pkg/coordination/scatterer: suspected requests wait for the end of the trial of one

Cause: of several requests with one fingerprint in flight only one may run a trial; the others were refused at once, though the trial takes one run.

Change: they wait for its end, at most three typical latencies, and go on with the verdict.

--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -120,6 +120,10 @@
 	trial          uint64
 	// held counts the sub-requests that were held back.
 	held int
+	// verdictBy is until when the request waits for the end of a trial of another one with the
+	// same fingerprint, zero if it doesn't; vetted is its arrival if it has not begun.
+	verdictBy time.Time
+	vetted    *Arrived
 	// maxAttempts is how many servers may run each sub-request.
 	maxAttempts int
 	// relayAt is when the sub-requests that await a relay are sent through a peer, zero if
@@ -349,7 +353,7 @@
 		return
 	}
 	if r.canary && relayed < len(choices) {
-		m.sendCanary(now, r, choices)
+		m.sendCanary(now, r, e, choices)
 		return
 	}
 	m.sendAll(now, r, choices, planned)
@@ -766,6 +770,9 @@
 	if !r.relayAt.IsZero() && r.relayAt.Before(next) {
 		next = r.relayAt
 	}
+	if !r.verdictBy.IsZero() && r.verdictBy.Before(next) {
+		next = r.verdictBy
+	}
 	m.timers.Set(&r.timer, next)
 }
 
@@ -781,6 +788,9 @@
 			m.resume(now, r)
 			continue
 		}
+		if m.verdictOverdue(now, r) {
+			continue
+		}
 		m.relayIfDue(now, r)
 		m.hedgeIfDue(now, r)
 		m.finishOrWait(now, r)
@@ -967,9 +977,9 @@
 		m.cancelOutstanding(now, r, &r.subRequests[i])
 	}
 	m.stopWaiting(r)
-	m.endTrial(r)
 	m.timers.Clear(&r.timer)
 	delete(m.requests, r.id)
+	m.endTrial(now, r)
 }
 
 func earliest(a, b time.Time) time.Time {
--- a/pkg/coordination/scatterer/vetting.go
+++ b/pkg/coordination/scatterer/vetting.go
@@ -9,6 +9,10 @@
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 )
 
+// verdictWait is how long a request waits for the end of a trial of another one, in multiples of
+// the typical latency of its route.
+const verdictWait = 3
+
 // maxCanaries is the number of sub-requests that are tried alone, one after the other, until
 // one ends well.
 const maxCanaries = 3
@@ -57,32 +61,72 @@
 	return true
 }
 
-// beginTrial begins the trial of a suspected request, or refuses it while another one runs.
+// beginTrial begins the trial of a suspected request, or has it wait for the end of another
+// one. It reports whether the request goes on.
 func (m *Machine) beginTrial(now time.Time, r *request) bool {
-	if r.trial != 0 || m.vetter.Judge(now, r.fingerprint) == vetter.Allowed {
+	verdict := m.vetter.Judge(now, r.fingerprint)
+	switch {
+	case r.trial != 0 || verdict == vetter.Allowed:
 		return true
+	case verdict == vetter.Blocked:
+		m.refuse(now, r, classifier.RequestBlocked)
+		return false
 	}
 	id, ok := m.vetter.Begin(now, r.fingerprint)
 	if !ok {
-		m.refuse(now, r, classifier.RequestSuspected)
+		r.verdictBy = earliest(now.Add(verdictWait*time.Duration(r.stats.typicalLatency)), r.deadline)
+		m.setTimer(now, r)
 		return false
 	}
 	r.trial = id
 	return true
 }
 
+// verdictOverdue refuses a request that has waited too long for the end of a trial.
+func (m *Machine) verdictOverdue(now time.Time, r *request) bool {
+	if r.verdictBy.IsZero() || now.Before(r.verdictBy) {
+		return false
+	}
+	m.refuse(now, r, classifier.RequestSuspected)
+	return true
+}
+
 // endTrial ends the trial of a request, if it has one.
-func (m *Machine) endTrial(r *request) {
-	if r.trial != 0 {
-		m.vetter.End(r.fingerprint, r.trial)
-		r.trial = 0
+func (m *Machine) endTrial(now time.Time, r *request) {
+	if r.trial == 0 {
+		return
+	}
+	m.vetter.End(r.fingerprint, r.trial)
+	r.trial = 0
+	for _, other := range m.requestsOf(r.fingerprint) {
+		m.goOn(now, other)
+	}
+}
+
+// goOn has a request go on that waits for the end of a trial.
+func (m *Machine) goOn(now time.Time, r *request) {
+	if r.verdictBy.IsZero() || m.requests[r.id] != r {
+		return
+	}
+	r.verdictBy = time.Time{}
+	e := r.vetted
+	r.vetted = nil
+	switch {
+	case e != nil:
+		m.begin(now, r, e)
+	case m.vetter.Judge(now, r.fingerprint) == vetter.Allowed:
+		m.release(now, r)
+		m.finishOrWait(now, r)
+	default:
+		m.isolate(now, r)
 	}
 }
 
 // sendCanary sends one sub-request of a request that has sent none; the others follow once it
 // has ended well.
-func (m *Machine) sendCanary(now time.Time, r *request, choices []placer.Choice) {
+func (m *Machine) sendCanary(now time.Time, r *request, e *Arrived, choices []placer.Choice) {
 	if !m.beginTrial(now, r) {
+		r.vetted = e
 		return
 	}
 	i := m.chooseCanary(now, r, func(i int) bool { return choices[i].Server != nil && !choices[i].Unavailable })
@@ -128,7 +172,6 @@
 // nextCanary sends another sub-request alone, as an extra attempt if it may have reached a
 // server before, or refuses the request with a code if none is left.
 func (m *Machine) nextCanary(now time.Time, r *request, code classifier.Code) {
-	r.canary = true
 	for r.canaries < maxCanaries {
 		i := m.chooseCanary(now, r, func(i int) bool { return m.mayResend(now, r, &r.subRequests[i]) })
 		if i < 0 {
@@ -219,12 +262,16 @@
 	}
 	if m.vetter.Len() > 0 {
 		m.vetter.RanWell(now, r.fingerprint)
-		m.endTrial(r)
+		m.endTrial(now, r)
 		m.applyVerdicts(now)
 	}
-	if !r.canary && r.held == 0 {
-		return
+	if r.canary || r.held > 0 {
+		m.release(now, r)
 	}
+}
+
+// release sends all sub-requests that are neither answered nor outstanding.
+func (m *Machine) release(now time.Time, r *request) {
 	r.canary = false
 	r.held = 0
 	for i := range r.subRequests {
@@ -249,7 +296,7 @@
 // nothingRuns reports whether a request has sub-requests that were held back or not sent yet,
 // and no attempt that may end well.
 func (m *Machine) nothingRuns(r *request) bool {
-	if r.waiting != nil || (r.held == 0 && !r.canary) {
+	if r.waiting != nil || !r.verdictBy.IsZero() || (r.held == 0 && !r.canary) {
 		return false
 	}
 	return !slices.ContainsFunc(r.subRequests, func(sub subRequest) bool { return len(sub.outstanding) > 0 || sub.awaitsRelay })
@@ -289,7 +336,7 @@
 			m.cancelOutstanding(now, r, sub)
 		}
 	}
-	r.hedgeAt = time.Time{}
+	r.canary, r.hedgeAt = true, time.Time{}
 	if m.beginTrial(now, r) {
 		m.nextCanary(now, r, classifier.RequestCrashed)
 	}
@@ -313,9 +360,6 @@
 		m.actions = append(m.actions, &VerdictChanged{change})
 	}
 	for _, change := range changes {
-		if change.After == vetter.Allowed {
-			continue
-		}
 		for _, r := range m.requestsOf(change.Fingerprint) {
 			m.applyVerdict(now, r, change.After)
 		}
@@ -339,6 +383,8 @@
 func (m *Machine) applyVerdict(now time.Time, r *request, verdict vetter.Verdict) {
 	switch {
 	case m.requests[r.id] != r || r.refusal != 0 || r.answeredCount > 0:
+	case verdict == vetter.Allowed:
+		m.goOn(now, r)
 	case verdict == vetter.Blocked:
 		m.expose(now, r)
 		m.refuse(now, r, classifier.RequestBlocked)
