cmd/rhubarbpost: verdicts list, lift and pin; explain has the evidence against a request

Operators could neither see nor change which requests are held back.

Change: GET and POST /verdicts on the control address of any host, commands verdicts list, lift and pin; a decision spreads like evidence. explain prints the lines of a verdict with each request that it refused. A host that has just started sent an empty summary as none, so that it learnt the records only when another host compared with it.

--- a/cmd/rhubarbpost/cmds/cmds.go
+++ b/cmd/rhubarbpost/cmds/cmds.go
@@ -60,6 +60,7 @@
 	t.addProcess("console", "Serve the operators' console.", runConsole)
 	t.addHost()
 	t.addExplain()
+	t.addVerdicts()
 	t.addConfig()
 	t.addVersion()
 	return t
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -41,8 +41,9 @@
 // RequestLog holds the log lines that concern one request.
 type RequestLog struct {
 	// Lines are those of the request; Context are those of the same hosts at about
-	// the same time that belong to no request, and earlier ones on limits that it met and
-	// on failure domains that couldn't be reached. Both are sorted by time.
+	// the same time that belong to no request, and earlier ones on limits that it met, on
+	// failure domains that couldn't be reached and on verdicts on the request. Both are sorted
+	// by time.
 	Lines   []Line
 	Context []Line
 	// Skipped counts the lines that are not log lines.
@@ -66,7 +67,7 @@
 	if err != nil {
 		return found, err
 	}
-	found.Context = slices.Concat(found.earlier(others, limitChanges), found.earlier(others, reachChanges), found.contextOf(others))
+	found.Context = slices.Concat(found.earlier(others, limitChanges), found.earlier(others, reachChanges), found.earlier(others, verdictChanges), found.contextOf(others))
 	byTime := func(a, b Line) int { return a.Time.Compare(b.Time) }
 	slices.SortStableFunc(found.Lines, byTime)
 	slices.SortStableFunc(found.Context, byTime)
@@ -127,8 +128,10 @@
 	// concerns reports whether such a state is behind what a line of a request says.
 	concerns func(line Line) bool
 	events   []logger.Event
-	// subject is the field that names what the state is about.
+	// subject is the field that names what the state is about; with same, only lines count in
+	// which it is the same as in the line of the request.
 	subject string
+	same    bool
 }
 
 var (
@@ -138,6 +141,10 @@
 	reachChanges = stateChanges{
 		concerns: Line.unreachable, events: []logger.Event{logger.ServersLost, logger.ServersRegained}, subject: "domain",
 	}
+	verdictChanges = stateChanges{
+		concerns: Line.heldBack, events: []logger.Event{logger.RequestSuspected, logger.RequestBlocked, logger.RequestCleared, logger.VerdictDecided},
+		subject: "fingerprint", same: true,
+	}
 )
 
 // earlier returns, if the state of a host is behind the outcome of the request, the last line
@@ -152,6 +159,9 @@
 		for _, other := range others {
 			if other.Host == line.Host && other.isOneOf(changes.events) && line.Time.Sub(other.Time) > contextWindow {
 				subject := fmt.Sprint(other.fields[changes.subject])
+				if changes.same && subject != fmt.Sprint(line.fields[changes.subject]) {
+					continue
+				}
 				if !other.Time.Before(last[subject].Time) {
 					last[subject] = other
 				}
@@ -185,6 +195,13 @@
 	return false
 }
 
+// heldBack reports whether a request was refused or given up since servers have ended under it.
+func (l Line) heldBack() bool {
+	return slices.ContainsFunc([]classifier.Code{classifier.RequestBlocked, classifier.RequestSuspected, classifier.RequestCrashed}, func(code classifier.Code) bool {
+		return l.fields["result"] == code.String()
+	})
+}
+
 func (l Line) isOneOf(events []logger.Event) bool {
 	return slices.ContainsFunc(events, func(event logger.Event) bool { return l.Event == event.String() })
 }
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -66,3 +66,24 @@
 		is.True(!strings.Contains(text.String(), "d3"))
 	}
 }
+
+const verdictLogs = `
+{"time":"2026-01-01T10:00:00Z","msg":"requestSuspected","host":"a","fingerprint":"f1","serverEnds":2}
+{"time":"2026-01-01T10:00:01Z","msg":"requestBlocked","host":"a","fingerprint":"f1","serverEnds":6}
+{"time":"2026-01-01T10:00:01Z","msg":"requestBlocked","host":"a","fingerprint":"f2","serverEnds":3}
+{"time":"2026-01-01T10:00:30Z","msg":"requestRefused","host":"a","request":"1","result":"requestBlocked","fingerprint":"f1"}
+{"time":"2026-01-01T10:00:30Z","msg":"requestRefused","host":"a","request":"2","result":"overloaded","fingerprint":"f1"}
+`
+
+// TestVerdictOnARequestIsFound checks that the evidence against a refused request is printed with it.
+func TestVerdictOnARequestIsFound(t *testing.T) {
+	is := is.New(t)
+	for request, want := range map[string]bool{"1": true, "2": false} {
+		found, err := Read(request, strings.NewReader(verdictLogs))
+		is.NoErr(err)
+		var text strings.Builder
+		found.Write(&text)
+		is.Equal(strings.Contains(text.String(), "10:00:01.000 a requestBlocked fingerprint=f1 serverEnds=6"), want)
+		is.True(!strings.Contains(text.String(), "fingerprint=f2"))
+	}
+}
--- a/internal/forwarder/records.go
+++ b/internal/forwarder/records.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -9,7 +10,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -32,6 +32,8 @@
 	firstRecordInterval = 100 * time.Millisecond
 	// maxRecordBytes bounds a message with records, several times one of full records.
 	maxRecordBytes = 1 << 20
+	// maxVerdictBytes bounds a list for operators.
+	maxVerdictBytes = 16 << 20
 )
 
 // recordsMessage has changed records, or asks for those that differ from the sender's.
@@ -39,7 +41,7 @@
 	Records []vetter.Record `json:"records,omitempty"`
 	// Digest asks whether all records are the same, Summary for those that differ.
 	Digest  *uint64        `json:"digest,omitempty"`
-	Summary vetter.Summary `json:"summary,omitempty"`
+	Summary vetter.Summary `json:"summary"`
 }
 
 // recordsAnswer is the answer to a recordsMessage.
@@ -70,15 +72,21 @@
 
 // postJSON sends a message to another process of this system and decodes its answer.
 func postJSON[A any](ctx context.Context, client *http.Client, url string, message any, limit int64) (A, error) {
-	var answer A
+	var none A
 	body, err := json.Marshal(message)
 	if err != nil {
-		return answer, err
+		return none, err
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(string(body)))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
-		return answer, err
+		return none, err
 	}
+	return callJSON[A](client, r, limit)
+}
+
+// callJSON sends a request and decodes an answer of at most limit bytes.
+func callJSON[A any](client *http.Client, r *http.Request, limit int64) (A, error) {
+	var answer A
 	response, err := client.Do(r)
 	if err != nil {
 		return answer, err
@@ -163,6 +171,23 @@
 	encodeJSON(w, message)
 }
 
+// FetchVerdicts returns what the host at a control address knows of requests under which servers
+// have ended.
+func FetchVerdicts(ctx context.Context, address string) ([]Verdict, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+verdictsPath, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	return callJSON[[]Verdict](http.DefaultClient, r, maxVerdictBytes)
+}
+
+// DecideVerdict has the host at a control address apply an operator's decision, "lift" or
+// "pin", which then spreads to all hosts.
+func DecideVerdict(ctx context.Context, address string, f vetter.Fingerprint, decision string) error {
+	_, err := postJSON[verdictMessage](ctx, http.DefaultClient, "http://"+address+verdictsPath, verdictMessage{Fingerprint: f, Decision: decision}, maxRecordBytes)
+	return err
+}
+
 // sendRecords sends changed records to other hosts, which send on what is new to them.
 func (f *Forwarder) sendRecords(ctx context.Context, records []vetter.Record) {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
