platform/adapter, pkg/protocol/decoder: an odd entry of any list costs that entry alone

Report: one entry among those of the servers, nested very deeply, with a number too large or a port out of range, ended the machines that read the list or stopped them from following it.

A port out of range made a server that each request tried in vain. A slice of a peer that needs more shards than it has ended the process (index out of range in the engine).

Change: pages are split into their objects without a look into them, so that one that can't be read is left out and logged with its place; the same for routes, services, objects and records of other hosts, asks and grants of tokens. Entries of servers and hosts, and figures in headers, have bounds. A route that can't be used refuses its requests as not run; they don't go by the route of a shorter prefix (TestInvalidRouteIsSkipped said that such a route matches nothing: now it must match and be unusable, which also guards against the shorter prefix).

--- a/internal/comparer/comparer.go
+++ b/internal/comparer/comparer.go
@@ -71,6 +71,9 @@
 // objects of the answering host are up to date.
 const ageHeader = "X-Store-Age-Ms"
 
+// maxAge bounds the age that a host may tell.
+const maxAge = 30 * 24 * time.Hour
+
 // SetAge sets the header with the time since the store last confirmed that the objects of
 // the answering host are up to date.
 func SetAge(h http.Header, age time.Duration) {
@@ -92,6 +95,8 @@
 	// the keys of this host's objects that are newer than those of the peer.
 	Newer  []storer.Object
 	Wanted []string
+	// Rejected is why some of the peer's objects can't be read.
+	Rejected []error
 	// Complete is true if no newer object was left out because of the size limit.
 	Complete bool
 	// Age is the time since the store last confirmed that the objects of the peer are up
@@ -117,7 +122,7 @@
 	}
 	var comparison Comparison
 	millis, err := strconv.ParseInt(first.Header().Get(ageHeader), 10, 64)
-	if err == nil {
+	if err == nil && millis >= 0 && millis <= maxAge.Milliseconds() {
 		comparison.Age, comparison.AgeKnown = time.Duration(millis)*time.Millisecond, true
 	}
 	comparison.NotReady = first.Header().Get(notReadyHeader) != ""
@@ -129,10 +134,7 @@
 	if err != nil {
 		return Comparison{}, err
 	}
-	comparison.Newer, err = exchanger.DecodeObjects(second.Msg.GetNewer(), second.Msg.GetEra())
-	if err != nil {
-		return Comparison{}, err
-	}
+	comparison.Newer, comparison.Rejected = exchanger.DecodeObjects(second.Msg.GetNewer(), second.Msg.GetEra())
 	complete, err := exchanger.DecodeVersions(second.Msg.GetComplete(), second.Msg.GetEra())
 	if err != nil {
 		return Comparison{}, err
--- a/internal/controller/handlers.go
+++ b/internal/controller/handlers.go
@@ -88,9 +88,9 @@
 // Push accepts changed objects from a peer.
 func (c *Controller) Push(ctx context.Context, r *connect.Request[exchanger.PushRequest]) (*connect.Response[exchanger.PushResponse], error) {
 	c.reportContact(ctx, r.Msg.GetHost())
-	objects, err := exchanger.DecodeObjects(r.Msg.GetObjects(), r.Msg.GetEra())
-	if err != nil {
-		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	objects, rejected := exchanger.DecodeObjects(r.Msg.GetObjects(), r.Msg.GetEra())
+	for _, err := range rejected {
+		c.cfg.Logger.Warn(logger.RegistrationRejected, "peer", r.Msg.GetHost(), "error", err)
 	}
 	c.merge(objects)
 	return connect.NewResponse(&exchanger.PushResponse{}), nil
--- a/internal/controller/watcher.go
+++ b/internal/controller/watcher.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/storer"
 )
 
 // setWatching starts or stops the watches on the store.
@@ -44,6 +45,7 @@
 	if err != nil {
 		return err
 	}
+	c.logRejected(prefix, page)
 	c.merge(append(page.Objects, c.cache.MissingFrom(prefix, page)...))
 	c.cache.SetComplete(prefix, page.Version)
 	after := page.Version
@@ -57,8 +59,16 @@
 			// copy. Changes since the copy are lost, so the prefix is listed again.
 			return fmt.Errorf("watch from version %v: the store was restored from an older copy and is at %v", after, page.Version)
 		}
+		c.logRejected(prefix, page)
 		c.merge(page.Objects)
 		c.cache.SetComplete(prefix, page.Version)
 		after = max(after, page.Version)
 	}
 }
+
+// logRejected logs the objects of a page that can't be read; the others are used.
+func (c *Controller) logRejected(prefix string, page storer.Page) {
+	for _, rejected := range page.Rejected {
+		c.cfg.Logger.Warn(logger.RegistrationRejected, "prefix", prefix, "error", rejected)
+	}
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -130,18 +130,15 @@
 			f.cfg.Logger.Info(logger.AgentFollowed, "agent", f.cfg.Agents[agent])
 		}
 		received = true
-		err = f.handleMessage(stream.Msg())
-		if err != nil {
-			return received, err
-		}
+		f.handleMessage(stream.Msg())
 	}
 	return received, stream.Err()
 }
 
-func (f *Follower) handleMessage(message *exchanger.SubscribeResponse) error {
-	objects, err := exchanger.DecodeObjects(message.GetObjects(), message.GetEra())
-	if err != nil {
-		return err
+func (f *Follower) handleMessage(message *exchanger.SubscribeResponse) {
+	objects, rejected := exchanger.DecodeObjects(message.GetObjects(), message.GetEra())
+	for _, err := range rejected {
+		f.cfg.Logger.Warn(logger.RegistrationRejected, "error", err)
 	}
 	newer := f.cache.Merge(objects)
 	if len(newer) > 0 {
@@ -152,5 +149,4 @@
 		f.synced = true
 		f.mu.Unlock()
 	}
-	return nil
 }
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -417,6 +417,14 @@
 	}
 }
 
+// logRejected logs the entries of a message of another host that can't be read; the others
+// are used.
+func (f *Forwarder) logRejected(host string, rejected []error) {
+	for _, err := range rejected {
+		f.cfg.Logger.Warn(logger.PeerHeaderRejected, "peer", host, "error", err)
+	}
+}
+
 // takeDraining removes the draining servers named by another host from the headers
 // of its answer and returns them, and the lines that can't be read.
 func takeDraining(h http.Header, host string) (servers []drainNotice, unread []string) {
@@ -468,6 +476,11 @@
 			continue
 		}
 		name := object.Key[len(f.cfg.Layout.HostPrefix):]
+		err = r.check()
+		if err != nil {
+			f.cfg.Logger.Warn(logger.RegistrationRejected, "key", object.Key, "revision", object.Version, "error", err)
+			continue
+		}
 		hosts = append(hosts, delegator.Host{
 			Name: name, Domain: r.Domain, Address: r.Control, Capacity: r.Capacity, Link: r.Link, Registered: object.Version, Relays: r.Relays,
 		})
--- a/internal/forwarder/follower.go
+++ b/internal/forwarder/follower.go
@@ -77,6 +77,9 @@
 	defer cancel()
 	page, event, err := read(ctx)
 	f.metrics.storeCall(name, err)
+	for _, rejected := range page.Rejected {
+		f.cfg.Logger.Warn(logger.RegistrationRejected, "revision", page.Version, "error", rejected)
+	}
 	if f.eras.isOutdated(ctx, page.Version.Era(), err) {
 		return &watcher.Rewound{}
 	}
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -95,6 +95,11 @@
 	if !ok {
 		return a, f.unknownRoute(table, call.Host, r.URL.Path)
 	}
+	_, unusable := route.Target.(*matcher.Unusable)
+	if unusable {
+		return a, classifier.NewFailure(classifier.StaleRoutes, "route %q can't be used, version %d", route.Name, table.Version()).
+			WithRetryAfter(transientRetryAfter)
+	}
 	a.route, a.version = route, table.Version()
 	body, failure := f.readBody(w, r, table.Limits().BodyBytes, call.Remaining)
 	if failure != nil {
--- a/internal/forwarder/limits.go
+++ b/internal/forwarder/limits.go
@@ -17,6 +17,9 @@
 // the limit in milliseconds and the server's ID.
 const limitHeader = "X-Rhubarbpost-Limit"
 
+// maxLimitRate bounds the limits that other hosts tell, in requests a second.
+const maxLimitRate = 1e9
+
 // tokensAnswered has the answers to the asks of this host.
 type tokensAnswered struct {
 	grants     []allotter.Grant
@@ -132,14 +135,16 @@
 // and returns them, and the lines that can't be read.
 func takeLimits(h http.Header, host string) (notices []limitNotice, unread []string) {
 	for _, line := range h.Values(limitHeader) {
-		var ageMillis int64
+		var ageText string
 		l := limitNotice{host: host}
-		_, err := fmt.Sscanf(line, "%d %g %d %s", &l.incarnation.StartedAtMillis, &l.rate, &ageMillis, &l.incarnation.Server)
-		if err != nil || l.rate < 0 {
+		_, err := fmt.Sscanf(line, "%d %g %s %s", &l.incarnation.StartedAtMillis, &l.rate, &ageText, &l.incarnation.Server)
+		if err == nil {
+			l.age, err = parseMillis(ageText)
+		}
+		if err != nil || !(l.rate >= 0) || l.rate > maxLimitRate {
 			unread = append(unread, line)
 			continue
 		}
-		l.age = time.Duration(ageMillis) * time.Millisecond
 		notices = append(notices, l)
 	}
 	h.Del(limitHeader)
--- a/internal/forwarder/members.go
+++ b/internal/forwarder/members.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
 	"github.com/rhubarbpost/rhubarbpost/internal/sleeper"
+	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/storer"
 )
 
@@ -26,6 +28,9 @@
 	// the store has listed them. It is the size of the largest deployment planned
 	// for a present-day site.
 	assumedHosts = 16
+	// maxCapacity, in cores, and maxLink, in Mbit/s, bound what a host may state.
+	maxCapacity = 1e4
+	maxLink     = 1e7
 )
 
 // registration is the registration of a host in the store.
@@ -41,6 +46,21 @@
 	Relays bool `json:"relays"`
 }
 
+// check returns why a registration can't be used, which may come from another writer.
+func (r registration) check() error {
+	switch {
+	case r.Domain == "":
+		return errNoDomain
+	case !(r.Capacity > 0) || r.Capacity > maxCapacity:
+		return fmt.Errorf("capacity is %v, must be above 0 and at most %v", r.Capacity, maxCapacity)
+	case !(r.Link >= 0) || r.Link > maxLink:
+		return fmt.Errorf("link is %v, must be 0 to %v", r.Link, maxLink)
+	}
+	return listener.CheckAddress(r.Control)
+}
+
+var errNoDomain = errors.New("failure domain is missing")
+
 // registerAndList registers this host and then lists the hosts periodically until
 // ctx is done. While peers follow the store on behalf of this host, it doesn't list but
 // gets all registrations, including its own, from the peers. If its own registration
@@ -97,6 +117,9 @@
 	if err != nil {
 		return err
 	}
+	for _, rejected := range page.Rejected {
+		f.cfg.Logger.Warn(logger.RegistrationRejected, "revision", page.Version, "error", rejected)
+	}
 	f.merge(slices.Concat(page.Objects, f.objects.MissingFrom(prefix, page)), origin{})
 	f.objects.SetComplete(prefix, page.Version)
 	return nil
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -266,6 +266,7 @@
 		f.cfg.Logger.Info(logger.PeerAsked, "peer", address, "newer", len(comparison.Newer), "storeAgeMillis", comparison.Age.Milliseconds(), "error", err)
 	}
 	f.metrics.peerCall(err)
+	f.logRejected(address, comparison.Rejected)
 	if err != nil || !comparison.AgeKnown {
 		f.ruleOutSeed(address)
 	}
--- a/internal/forwarder/records.go
+++ b/internal/forwarder/records.go
@@ -17,6 +17,7 @@
 	"github.com/rhubarbpost/rhubarbpost/internal/sleeper"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/delegator"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/vetter"
+	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/decoder"
 )
 
 const (
@@ -38,7 +39,7 @@
 
 // recordsMessage has changed records, or asks for those that differ from the sender's.
 type recordsMessage struct {
-	Records []vetter.Record `json:"records,omitempty"`
+	Records decoder.List[vetter.Record] `json:"records,omitzero"`
 	// Digest asks whether all records are the same, Summary for those that differ.
 	Digest  *uint64        `json:"digest,omitempty"`
 	Summary vetter.Summary `json:"summary"`
@@ -47,10 +48,10 @@
 // recordsAnswer is the answer to a recordsMessage.
 type recordsAnswer struct {
 	// Equal means that both hosts have the same records.
-	Equal   bool            `json:"equal"`
-	Records []vetter.Record `json:"records,omitempty"`
+	Equal   bool                        `json:"equal"`
+	Records decoder.List[vetter.Record] `json:"records,omitzero"`
 	// Wanted are the requests of which the answering host lacks the sender's records.
-	Wanted []vetter.Fingerprint `json:"wanted,omitempty"`
+	Wanted decoder.List[vetter.Fingerprint] `json:"wanted,omitzero"`
 }
 
 // verdictMessage is a decision of an operator.
@@ -130,7 +131,8 @@
 		case message.Digest != nil:
 			answer.Equal = *message.Digest == v.Digest()
 		case message.Summary != nil:
-			answer.Records, answer.Wanted = v.Compare(now, message.Summary)
+			records, wanted := v.Compare(now, message.Summary)
+			answer.Records, answer.Wanted = decoder.NewList(records), decoder.NewList(wanted)
 		}
 	})
 	if !ok {
@@ -141,8 +143,8 @@
 }
 
 // mergeRecords merges records of another host and logs those that can't be used.
-func (f *Forwarder) mergeRecords(now time.Time, v *vetter.Vetter, peer string, records []vetter.Record) {
-	for _, err := range v.Merge(now, records) {
+func (f *Forwarder) mergeRecords(now time.Time, v *vetter.Vetter, peer string, records decoder.List[vetter.Record]) {
+	for _, err := range slices.Concat(records.Rejected, v.Merge(now, records.Elements)) {
 		f.cfg.Logger.Warn(logger.RecordsRejected, "peer", peer, "error", err)
 	}
 }
@@ -194,7 +196,7 @@
 	var sends sync.WaitGroup
 	for _, host := range vetter.Targets(random, f.self(), f.knownHosts()) {
 		sends.Go(func() {
-			_, err := f.exchangeRecords(ctx, host.Address, recordsMessage{Records: records})
+			_, err := f.exchangeRecords(ctx, host.Address, recordsMessage{Records: decoder.NewList(records)})
 			if err != nil {
 				f.cfg.Logger.Debug(logger.RecordsUnsent, "peer", host.Name, "records", len(records), "error", err)
 			}
@@ -256,10 +258,10 @@
 	var records []vetter.Record
 	f.engine.callVetter(ctx, func(now time.Time, v *vetter.Vetter) {
 		f.mergeRecords(now, v, address, answer.Records)
-		records = v.Records(now, answer.Wanted)
+		records = v.Records(now, answer.Wanted.Elements)
 	})
 	if len(records) > 0 {
-		_, err = f.exchangeRecords(ctx, address, recordsMessage{Records: records})
+		_, err = f.exchangeRecords(ctx, address, recordsMessage{Records: decoder.NewList(records)})
 	}
 	return err
 }
--- a/internal/forwarder/relaypeers.go
+++ b/internal/forwarder/relaypeers.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -33,12 +32,12 @@
 	now := time.Now()
 	for _, line := range h.Values(isolatedHeader) {
 		text, name, _ := strings.Cut(line, " ")
-		millis, err := strconv.ParseInt(text, 10, 64)
-		if err != nil || millis < 0 {
+		age, err := parseMillis(text)
+		if err != nil {
 			unread = append(unread, line)
 			continue
 		}
-		d.peers.Hear(now, name, time.Duration(millis)*time.Millisecond)
+		d.peers.Hear(now, name, age)
 	}
 	return unread
 }
--- a/internal/forwarder/slice.go
+++ b/internal/forwarder/slice.go
@@ -159,7 +159,7 @@
 		return err
 	}
 	needed, err := strconv.Atoi(neededText)
-	if err != nil || len(indexes) == 0 {
+	if err != nil || needed < 0 || needed > len(indexes) {
 		return fmt.Errorf("slice of places %q of which %q are needed", indexText, neededText)
 	}
 	restricted := &matcher.Sharded{Rows: target.Rows, MinCoverage: float64(needed) / float64(len(indexes))}
--- a/internal/forwarder/terms.go
+++ b/internal/forwarder/terms.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
@@ -46,12 +47,24 @@
 // takeSpent removes spentHeader and returns how much of the latency objective is over; a host
 // of an older build doesn't tell.
 func takeSpent(h http.Header) time.Duration {
-	millis, err := strconv.ParseInt(h.Get(spentHeader), 10, 64)
+	spent, _ := parseMillis(h.Get(spentHeader))
 	h.Del(spentHeader)
-	if err != nil || millis < 0 {
-		return 0
+	return spent
+}
+
+// maxHeaderTime bounds the times that other hosts state.
+const maxHeaderTime = 24 * time.Hour
+
+// parseMillis reads a time in milliseconds that another host states, 0 if it can't be read.
+func parseMillis(text string) (time.Duration, error) {
+	millis, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0, err
 	}
-	return time.Duration(millis) * time.Millisecond
+	if millis < 0 || millis > maxHeaderTime.Milliseconds() {
+		return 0, fmt.Errorf("%d ms is not from 0 to %v", millis, maxHeaderTime)
+	}
+	return time.Duration(millis) * time.Millisecond, nil
 }
 
 // setResult states why a relay was not served.
@@ -61,11 +74,17 @@
 
 // takeResult removes resultHeader and returns what it states, 0 without one.
 func takeResult(h http.Header) (code classifier.Code, retryAfter time.Duration) {
-	var millis int64
-	_, err := fmt.Sscanf(h.Get(resultHeader), "%d %d", &code, &millis)
+	number, text, _ := strings.Cut(h.Get(resultHeader), " ")
 	h.Del(resultHeader)
+	n, err := strconv.Atoi(number)
 	if err != nil {
 		return 0, 0
 	}
-	return code, time.Duration(millis) * time.Millisecond
+	code = classifier.Code(n)
+	if code.Definition().Status < http.StatusBadRequest {
+		// Only a failure has this header.
+		return 0, 0
+	}
+	retryAfter, _ = parseMillis(text)
+	return code, retryAfter
 }
--- a/internal/forwarder/tokens.go
+++ b/internal/forwarder/tokens.go
@@ -12,6 +12,7 @@
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/allotter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/delegator"
+	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/decoder"
 )
 
 const (
@@ -37,15 +38,15 @@
 // tokenAsk asks a host for tokens.
 type tokenAsk struct {
 	// Host is the name of the host that needs the tokens.
-	Host string         `json:"host"`
-	Asks []allotter.Ask `json:"asks"`
+	Host string                     `json:"host"`
+	Asks decoder.List[allotter.Ask] `json:"asks"`
 	// Relayed means that another host passes the ask on, so that it isn't passed on again.
 	Relayed bool `json:"relayed,omitempty"`
 }
 
 // tokenGrant is the answer to a tokenAsk.
 type tokenGrant struct {
-	Grants []allotter.Grant `json:"grants"`
+	Grants decoder.List[allotter.Grant] `json:"grants"`
 }
 
 // tokenBroker allots the tokens of servers with a limit, and gets those that other hosts
@@ -113,7 +114,7 @@
 	var calls sync.WaitGroup
 	for _, group := range slices.Sorted(maps.Keys(groups)) {
 		calls.Go(func() {
-			answer, err := f.tokensOf(ctx, allotters.Preference(group), tokenAsk{Host: f.Settings().Name, Asks: groups[group]})
+			answer, err := f.tokensOf(ctx, allotters.Preference(group), tokenAsk{Host: f.Settings().Name, Asks: decoder.NewList(groups[group])})
 			f.metrics.tokenAsk(err)
 			mu.Lock()
 			defer mu.Unlock()
@@ -122,7 +123,8 @@
 				f.cfg.Logger.Info(logger.TokensMissed, "servers", len(groups[group]), "error", err)
 				return
 			}
-			grants = append(grants, answer.Grants...)
+			f.logRejected("tokens", answer.Grants.Rejected)
+			grants = append(grants, answer.Grants.Elements...)
 		})
 	}
 	calls.Wait()
@@ -136,7 +138,7 @@
 	tried := 0
 	for _, host := range hosts {
 		if host.Name == self {
-			return tokenGrant{f.tokens.allot(ask.Host, ask.Asks)}, nil
+			return tokenGrant{decoder.NewList(f.tokens.allot(ask.Host, ask.Asks.Elements))}, nil
 		}
 		if tried == maxAllottersTried || !f.tokens.available(host.Name) {
 			continue
@@ -164,10 +166,11 @@
 // one unreachable; if they are not, the ask is passed on, so that a single host allots.
 func (f *Forwarder) serveTokens(w http.ResponseWriter, r *http.Request) {
 	ask, err := decodeJSON[tokenAsk](w, r, maxAskBytes)
-	if err != nil || ask.Host == "" || len(ask.Asks) == 0 {
+	if err != nil || ask.Host == "" || len(ask.Asks.Elements) == 0 {
 		http.Error(w, fmt.Sprintf("not an ask for tokens: %v", err), http.StatusBadRequest)
 		return
 	}
+	f.logRejected(ask.Host, ask.Asks.Rejected)
 	answer, err := f.answerAsk(r.Context(), ask)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
@@ -178,12 +181,12 @@
 
 func (f *Forwarder) answerAsk(ctx context.Context, ask tokenAsk) (tokenGrant, error) {
 	allotters := f.delegate.listedAllotters()
-	hosts := allotters.Preference(allotters.Group(ask.Asks[0].Server))
+	hosts := allotters.Preference(allotters.Group(ask.Asks.Elements[0].Server))
 	switch {
 	case len(hosts) == 0:
 		return tokenGrant{}, errCallRejected
 	case ask.Relayed:
-		return tokenGrant{f.tokens.allot(ask.Host, ask.Asks)}, nil
+		return tokenGrant{decoder.NewList(f.tokens.allot(ask.Host, ask.Asks.Elements))}, nil
 	}
 	ask.Relayed = true
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
--- a/internal/lab/standin/store.go
+++ b/internal/lab/standin/store.go
@@ -1,12 +1,15 @@
 package standin
 
 import (
+	"bytes"
 	"cmp"
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -154,7 +157,12 @@
 	if err != nil {
 		panic(err)
 	}
-	object, err := s.state.Overwrite(kind+"/"+name, data)
+	return s.PutRaw(kind, name, data)
+}
+
+// PutRaw is like Put with the bytes of the value, which need not be JSON that can be decoded.
+func (s *Store) PutRaw(kind, name string, spec []byte) storer.Version {
+	object, err := s.state.Overwrite(kind+"/"+name, spec)
 	if err != nil {
 		panic(err)
 	}
@@ -247,7 +255,7 @@
 func toWire(o storer.Object) wireObject {
 	var object wireObject
 	_, object.Meta.Name, _ = strings.Cut(o.Key, "/")
-	object.Meta.Revision, object.Spec = o.Version.Revision(), o.Value
+	object.Meta.Revision, object.Spec = o.Version.Revision(), encodable(o.Value)
 	return object
 }
 
@@ -282,7 +290,7 @@
 		}
 		items = append(items, item)
 	}
-	writeJSON(w, map[string]any{"at": page.Version.Revision(), "has_more": more, "items": items})
+	writeObjects(w, map[string]any{"at": page.Version.Revision(), "has_more": more, "items": items})
 }
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request, watch string) {
@@ -322,7 +330,7 @@
 		}
 		events = append(events, event)
 	}
-	writeJSON(w, map[string]any{"at": page.Version.Revision(), "events": events})
+	writeObjects(w, map[string]any{"at": page.Version.Revision(), "events": events})
 }
 
 // parseVersion parses a revision and returns its version in the current era of the
@@ -437,3 +445,35 @@
 	w.WriteHeader(http.StatusOK)
 	_ = json.NewEncoder(w).Encode(value)
 }
+
+// oddSpec stands for a value that encoding/json doesn't encode, in base64.
+const oddSpec = "@odd "
+
+// encodable returns a value, or a text that stands for it in the output of the encoder.
+func encodable(value json.RawMessage) json.RawMessage {
+	if value == nil || json.Valid(value) {
+		return value
+	}
+	return json.RawMessage(strconv.Quote(oddSpec + base64.StdEncoding.EncodeToString(value)))
+}
+
+// writeObjects writes a value that contains objects, whatever bytes these have.
+func writeObjects(w http.ResponseWriter, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	for {
+		before, rest, odd := bytes.Cut(data, []byte(`"`+oddSpec))
+		if !odd {
+			break
+		}
+		text, after, _ := bytes.Cut(rest, []byte(`"`))
+		raw, _ := base64.StdEncoding.DecodeString(string(text))
+		data = slices.Concat(before, raw, after)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write(data)
+}
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -148,7 +148,7 @@
 	{ServersLost, "serversLost", "No backend server of a failure domain accepts a connection from this host or has answered it lately; isolated if that holds for all failure domains."},
 	{ServersRegained, "serversRegained", "Backend servers of the failure domain can be reached again."},
 	{RequestRelayed, "requestRelayed", "A request, or the parts of it whose servers this host can't reach, was sent through a peer."},
-	{PeerHeaderRejected, "peerHeaderRejected", "Another host has sent header lines that can't be read; they are ignored."},
+	{PeerHeaderRejected, "peerHeaderRejected", "Another host has sent header lines, or entries of a message, that can't be read; they are ignored."},
 	{RequestSuspected, "requestSuspected", "Backend servers have ended while they ran a request, which runs at one server at a time from now on; the line has the evidence."},
 	{RequestBlocked, "requestBlocked", "Backend servers have ended again and again while they ran a request, or an operator has decided so; it is sent to no server from now on."},
 	{RequestCleared, "requestCleared", "A run of a request has ended well, another request accounts for the ends of the servers, or an operator has lifted the verdict."},
--- a/internal/protocol/exchanger/objects.go
+++ b/internal/protocol/exchanger/objects.go
@@ -1,6 +1,10 @@
 package exchanger
 
-import "github.com/rhubarbpost/rhubarbpost/pkg/state/storer"
+import (
+	"fmt"
+
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/storer"
+)
 
 // NewestEra returns the newest era among the objects, which becomes the era of a
 // message that carries them. The era counts how often the store was restored from an
@@ -34,18 +38,18 @@
 	return messages
 }
 
-// DecodeObjects converts objects from their wire form in a message of the given era;
-// it returns an error if a version is out of range.
-func DecodeObjects(messages []*Object, era uint64) ([]storer.Object, error) {
-	objects := make([]storer.Object, len(messages))
-	for i, m := range messages {
+// DecodeObjects converts objects from their wire form in a message of the given era. An
+// object whose version is out of range is left out, for which it returns an error.
+func DecodeObjects(messages []*Object, era uint64) (objects []storer.Object, rejected []error) {
+	for _, m := range messages {
 		version, err := storer.NewVersion(era-m.GetErasBehind(), m.GetVersion())
 		if err != nil {
-			return nil, err
+			rejected = append(rejected, fmt.Errorf("object %q: %w", m.GetKey(), err))
+			continue
 		}
-		objects[i] = storer.Object{Key: m.GetKey(), Version: version, Value: m.GetValue(), Deleted: m.GetDeleted()}
+		objects = append(objects, storer.Object{Key: m.GetKey(), Version: version, Value: m.GetValue(), Deleted: m.GetDeleted()})
 	}
-	return objects, nil
+	return objects, rejected
 }
 
 // EncodeVersions converts the versions of keys to their wire form for a message of the
--- a/pkg/coordination/vetter/exchange.go
+++ b/pkg/coordination/vetter/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"slices"
 	"time"
 )
@@ -16,6 +17,29 @@
 // Summary has the digest of each record of a host by the fingerprint of its request.
 type Summary map[Fingerprint]uint64
 
+// UnmarshalJSON decodes a summary. Members that can't be read are left out, as if the other host
+// had no such record.
+func (s *Summary) UnmarshalJSON(data []byte) error {
+	*s = nil
+	if string(data) == "null" {
+		return nil
+	}
+	var members map[string]json.RawMessage
+	err := json.Unmarshal(data, &members)
+	if err != nil {
+		return err
+	}
+	*s = make(Summary, len(members))
+	for name, value := range members {
+		var f Fingerprint
+		var digest uint64
+		if f.UnmarshalText([]byte(name)) == nil && json.Unmarshal(value, &digest) == nil {
+			(*s)[f] = digest
+		}
+	}
+	return nil
+}
+
 // Digest returns a number that is the same for two hosts with the same records.
 func (v *Vetter) Digest() uint64 {
 	var digest uint64
--- a/pkg/protocol/decoder/decoder.go
+++ b/pkg/protocol/decoder/decoder.go
@@ -40,16 +40,25 @@
 	return text
 }
 
+// ReadAll reads a body, and returns ErrTooLarge if it has more than limit bytes.
+func ReadAll(r io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(data)) > limit {
+		return nil, ErrTooLarge
+	}
+	return data, nil
+}
+
 // Body decodes a JSON body, and returns ErrTooLarge if it has more than limit bytes.
 func Body[T any](r io.Reader, limit int64) (T, error) {
 	var value T
-	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	data, err := ReadAll(r, limit)
 	if err != nil {
 		return value, err
 	}
-	if int64(len(data)) > limit {
-		return value, ErrTooLarge
-	}
 	err = json.Unmarshal(data, &value)
 	return value, err
 }
--- a/pkg/state/matcher/matcher.go
+++ b/pkg/state/matcher/matcher.go
@@ -3,13 +3,16 @@
 import (
 	"errors"
 	"fmt"
+	"math"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/storer"
 )
 
-// Target is the destination of the requests of a route: *Single, *Weighted or *Sharded.
+// Target is the destination of the requests of a route: *Single, *Weighted or *Sharded, or
+// *Unusable for a route that can't be used.
 type Target interface{ target() }
 
 // Single sends each request to one backend server of a service.
@@ -38,6 +41,11 @@
 	Rows int
 }
 
+// Unusable is the target of an invalid route. Its requests must not go by the route of a shorter
+// prefix instead.
+type Unusable struct{}
+
+func (*Unusable) target() {}
 func (*Single) target()   {}
 func (*Weighted) target() {}
 func (*Sharded) target()  {}
@@ -97,6 +105,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Problems are errors of entries that could not be decoded, which New returns with its own.
+	Problems []error
 }
 
 // Table is the immutable routing table of one configuration.
@@ -106,20 +116,25 @@
 	services map[string]Service
 }
 
-// New returns the table of the valid routes, and an error that joins the errors of the
-// invalid routes.
+// New returns the table of the routes, and an error that joins the errors of the invalid ones.
+// These are unusable where they have a prefix, and left out otherwise.
 func New(cfg Config) (*Table, error) {
 	t := &Table{cfg: cfg, byHost: make(map[string]map[string]*Route), services: make(map[string]Service, len(cfg.Services))}
 	for _, service := range cfg.Services {
 		t.services[service.Name] = service
 	}
-	var problems []error
+	problems := slices.Clone(cfg.Problems)
 	for i := range cfg.Routes {
 		route := &cfg.Routes[i]
 		err := route.check()
 		if err != nil {
 			problems = append(problems, fmt.Errorf("route %q: %w", route.Name, err))
-			continue
+			if !route.hasPrefix() {
+				continue
+			}
+			unusable := *route
+			unusable.Target = &Unusable{}
+			route = &unusable
 		}
 		prefixes := t.byHost[route.Host]
 		if prefixes == nil {
@@ -131,8 +146,13 @@
 	return t, errors.Join(problems...)
 }
 
+// hasPrefix reports whether the route has a prefix that paths can match.
+func (r *Route) hasPrefix() bool {
+	return strings.HasPrefix(r.Prefix, "/") && strings.HasSuffix(r.Prefix, "/")
+}
+
 func (r *Route) check() error {
-	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+	if !r.hasPrefix() {
 		return fmt.Errorf("path prefix %q must begin and end with a slash", r.Prefix)
 	}
 	switch target := r.Target.(type) {
@@ -148,6 +168,9 @@
 		if total <= 0 {
 			return errors.New("the sum of the weights is not above zero")
 		}
+		if math.IsInf(total, 0) {
+			return errors.New("the sum of the weights is too large")
+		}
 	case *Sharded:
 		if len(target.Services) == 0 {
 			return errors.New("no shards")
--- a/pkg/state/storer/storer.go
+++ b/pkg/state/storer/storer.go
@@ -32,6 +32,8 @@
 type Page struct {
 	Objects []Object `json:"objects"`
 	Version Version  `json:"version"`
+	// Rejected is why some objects can't be read; they are missing from Objects.
+	Rejected []error `json:"-"`
 }
 
 // Store is the platform's object API.
