platform/adapter: tests of answers that end in their head or body, on each way to a caller

Report: a server stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole.

Here: not found.

Conclusion: no change but the tests.

--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -49,6 +49,10 @@
 	Reset bool
 	// Truncate closes the connection in the middle of the body.
 	Truncate bool
+	// CutAt closes the connection after so many bytes of the answer, if it has more; 0 for none.
+	CutAt int
+	// Unframed leaves the length out of answers, which end with their connection.
+	Unframed bool
 	// Extra sends an unsolicited second answer after the first.
 	Extra bool
 	// ExtraDelay is the time between the first and the second answer.
@@ -362,7 +366,14 @@
 	if status == http.StatusServiceUnavailable && b.RetryAfter != "" {
 		headers = append(headers, "Retry-After: "+b.RetryAfter)
 	}
-	_, err := fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n%s\r\n\r\n%s",
-		status, http.StatusText(status), id, len(body), strings.Join(headers, "\r\n"), body)
-	return err == nil
+	if !b.Unframed {
+		headers = append(headers, fmt.Sprintf("Content-Length: %d", len(body)))
+	}
+	text := fmt.Sprintf("HTTP/1.1 %d %s\r\nX-Request-Id: %s\r\n%s\r\n\r\n%s", status, http.StatusText(status), id, strings.Join(headers, "\r\n"), body)
+	if b.CutAt > 0 {
+		_, _ = conn.Write([]byte(text)[:min(b.CutAt, len(text))])
+		return false
+	}
+	_, err := conn.Write([]byte(text))
+	return err == nil && !b.Unframed
 }
