internal/forwarder: a stopping host answers each request that it has taken before its grace ends

Report: in a planned stop of one machine, requests that came late in the grace were taken and passed on; at its end they were cut without an answer, among them some that may not be repeated.

Change: in the grace a request is refused as not run with stopping (1202) if less is left than its latency objective, else its deadline is 0.1 s before the exit. What is still in flight then, also at a gathering host, ends with 504 so that the caller gets an answer (event 107 requestsEnded).

--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -325,6 +325,8 @@
 	deadline := time.Now().Add(min(a.call.Remaining, a.route.Timeout))
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	defer context.AfterFunc(f.ending, func() { cancelCause(context.Cause(f.ending)) })()
 	return f.exchangeWithGatherer(ctx, a, host, delegationReceiptTimeout, nil)
 }
 
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -330,6 +330,8 @@
 		e.stepVetting(now, item)
 	case policyChange:
 		e.machine.Reconfigure(item.cfg)
+	case requestsEnd:
+		e.act(e.machine.Step(now, &scatterer.Stopped{}))
 	}
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -10,7 +10,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
 	"github.com/rhubarbpost/rhubarbpost/internal/protocol/exchanger/exchangerconnect"
-	"github.com/rhubarbpost/rhubarbpost/internal/sleeper"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/connector"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/watcher"
@@ -23,8 +22,10 @@
 	// balancerDrainTime is how long a stopping host still accepts connections: the load
 	// balancer polls once a second and stops sending callers after two failed polls.
 	balancerDrainTime = 2600 * time.Millisecond
-	// exitReserve is how much of the grace period is left for the process to exit.
-	exitReserve = 300 * time.Millisecond
+	// exitReserve is how much of the grace period is left for the process to exit, answerReserve
+	// how much before that requests in flight end, so that their callers get the answer.
+	exitReserve   = 300 * time.Millisecond
+	answerReserve = 100 * time.Millisecond
 )
 
 // Config holds the dependencies of a forwarder.
@@ -107,7 +108,12 @@
 	// lastRequest is the ID given to the last request.
 	lastRequest atomic.Uint64
 	stopping    atomic.Bool
-	closing     sync.Once
+	// endAt is when a stopping host ends its requests, in Unix nanoseconds; ending is then
+	// canceled with context.DeadlineExceeded by end.
+	endAt   atomic.Int64
+	ending  context.Context
+	end     context.CancelCauseFunc
+	closing sync.Once
 }
 
 // New opens the listeners and starts following the store.
@@ -123,6 +129,7 @@
 	f.store.Store(&openStore{f.connect(cfg.Settings.Store), cfg.Settings.Store})
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
+	f.ending, f.end = context.WithCancelCause(ctx)
 	f.engine = newEngine(cfg, f.metrics, f.client, f, func() { f.checkStore(ctx) }, func() { f.probeOtherDomains(ctx) })
 	err := f.listen()
 	if err != nil {
@@ -239,28 +246,6 @@
 	return time.Unix(0, f.configConfirmed.Load())
 }
 
-// Stop shuts the host down without interrupting requests: it becomes not ready,
-// serves on until the load balancer has noticed, closes idle connections and waits for
-// requests in flight until ctx ends or only exitReserve is left of the grace period.
-func (f *Forwarder) Stop(ctx context.Context) error {
-	f.cfg.Logger.Info(logger.StopBegun, "inFlight", f.callers.InFlight())
-	begun := time.Now()
-	f.stopping.Store(true)
-	sleeper.Sleep(ctx, balancerDrainTime)
-	ctx, cancel := context.WithDeadline(ctx, begun.Add(f.Settings().Grace.Value()-exitReserve))
-	defer cancel()
-	err := f.callers.Shutdown(ctx)
-	aborted := f.callers.InFlight()
-	if err != nil && aborted > 0 {
-		f.cfg.Logger.Error(logger.StopForced, "cutOff", aborted)
-	} else {
-		err = nil
-		f.cfg.Logger.Info(logger.StopEnded, "tookMillis", time.Since(begun).Milliseconds())
-	}
-	f.Close()
-	return err
-}
-
 // Close stops everything immediately and waits until it has ended. Further calls
 // do nothing.
 func (f *Forwarder) Close() {
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -42,6 +42,9 @@
 	if failure == nil {
 		failure = f.engine.blockedFailure(a.received, a.fingerprint)
 	}
+	if failure == nil {
+		failure = f.limitToStop(a)
+	}
 	if failure != nil {
 		f.refuse(w, a, failure)
 		return
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -11,6 +11,7 @@
 	StopEnded      Event = 103
 	StopForced     Event = 104
 	ListenFailed   Event = 106
+	RequestsEnded  Event = 107
 )
 
 // The events of an entry.
@@ -100,6 +101,7 @@
 	{StopEnded, "stopEnded", "A planned stop has ended; no request was aborted."},
 	{StopForced, "stopForced", "A second signal or the drain limit ended the process; the line counts the aborted requests."},
 	{ListenFailed, "listenFailed", "A listener could not be opened or has failed."},
+	{RequestsEnded, "requestsEnded", "A planned stop has ended the requests that were left shortly before the end of the grace period; their callers get a failure."},
 	{QueryAnswered, "queryAnswered", "A query was answered."},
 	{QueryRefused, "queryRefused", "A query was refused or failed."},
 	{OrderEnded, "orderEnded", "An order has ended; the line names its outcome."},
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -291,6 +292,8 @@
 		if r != nil {
 			m.discard(now, r)
 		}
+	case *Stopped:
+		m.endAll(now)
 	case *ProbeEnded:
 		change, changed := m.detector.ProbeEnded(now, e.Domain, e.Result)
 		m.reachChanged(now, change, changed)
@@ -984,6 +987,16 @@
 	m.endTrial(now, r)
 }
 
+// endAll ends all requests, as if their deadline had passed.
+func (m *Machine) endAll(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(m.requests)) {
+		r := m.requests[id]
+		if r != nil && r.refusal == 0 {
+			m.refuse(now, r, classifier.DeadlineExceeded)
+		}
+	}
+}
+
 func earliest(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/pkg/coordination/scatterer/types.go
+++ b/pkg/coordination/scatterer/types.go
@@ -179,6 +179,9 @@
 	Request uint64
 }
 
+// Stopped means that the host stops: all requests in flight end now.
+type Stopped struct{}
+
 // TimerFired means that the time returned by NextTimer has been reached.
 type TimerFired struct{}
 
@@ -188,6 +191,7 @@
 func (*SliceEnded) scattererEvent()   {}
 func (*RelayEnded) scattererEvent()   {}
 func (*Abandoned) scattererEvent()    {}
+func (*Stopped) scattererEvent()      {}
 func (*TokensAsked) scattererEvent()  {}
 func (*TimerFired) scattererEvent()   {}
 func (*ProbeEnded) scattererEvent()   {}
