pkg/coordination/scatterer: evidence isn't withdrawn when a failure domain seems cut off; a soak of deadly requests

What it was for, a cut that doesn't reset all paths at the same instant, is met by checking the other servers of the failure domain 4 ms later.

--- a/internal/forwarder/ends.go
+++ b/internal/forwarder/ends.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rhubarbpost/rhubarbpost/internal/sleeper"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/detector"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
 )
@@ -16,6 +17,10 @@
 // ended, several round trips between failure domains.
 const endCheckTimeout = 40 * time.Millisecond
 
+// endCheckDelay is the delay before others are checked, as a cut needn't reset all paths at the
+// same instant.
+const endCheckDelay = 4 * time.Millisecond
+
 // endChecks is the number of other servers of the failure domain of which one must accept a
 // connection for a server that refuses them to have ended.
 const endChecks = 3
@@ -55,6 +60,7 @@
 	case detector.Connected:
 		a.Ended = endAlive
 	case detector.Refused:
+		sleeper.Sleep(ctx, endCheckDelay)
 		others := c.othersInDomain(server)
 		if len(others) == 0 || probeServers(ctx, others, endCheckTimeout) == detector.Connected {
 			a.Ended = endEnded
--- a/internal/lab/starter/soak_test.go
+++ b/internal/lab/starter/soak_test.go
@@ -282,6 +282,31 @@
 	}
 }
 
+// span is a time from which on, and until which, something holds.
+type span struct{ from, to time.Time }
+
+func (s span) contains(at time.Time) bool {
+	return !at.Before(s.from) && (s.to.IsZero() || at.Before(s.to))
+}
+
+// disturbHost kills, freezes or restarts a host, and returns the time of that.
+func (s *soak) disturbHost(host int, random *rand.Rand) span {
+	from := time.Now()
+	switch random.IntN(3) {
+	case 0:
+		s.hosts[host].Signal(s.t, syscall.SIGKILL)
+		s.hosts[host].Wait(s.t)
+		s.hosts[host] = s.start(host)
+	case 1:
+		s.hosts[host].Signal(s.t, syscall.SIGSTOP)
+		time.Sleep(time.Duration(random.IntN(700)) * time.Millisecond)
+		s.hosts[host].Signal(s.t, syscall.SIGCONT)
+	case 2:
+		s.restart(host)
+	}
+	return span{from, time.Now()}
+}
+
 // restart stops a host with SIGTERM and starts it again.
 func (s *soak) restart(i int) {
 	code := s.hosts[i].Stop(s.t)
--- a/pkg/coordination/scatterer/reach.go
+++ b/pkg/coordination/scatterer/reach.go
@@ -32,9 +32,6 @@
 	}
 	m.placer.SetReachable(change.Domain, change.Reachable)
 	m.actions = append(m.actions, &ReachChanged{change})
-	if !change.Reachable {
-		m.withdrawEnds(now, change.Domain)
-	}
 	if change.Reachable || change.NewRefused {
 		return
 	}
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -175,8 +175,6 @@
 	detector  *detector.Detector
 	limits    *allotter.Ledger
 	vetter    *vetter.Vetter
-	// observed has the newest ends of servers that this host has observed.
-	observed []observedEnd
 	// waiting is the number of requests that wait for tokens.
 	waiting int
 	// requests has the requests in flight by ID, attempts the outstanding attempts.
--- a/pkg/coordination/scatterer/vetting.go
+++ b/pkg/coordination/scatterer/vetting.go
@@ -13,21 +13,6 @@
 // the typical latency of its route.
 const verdictWait = 3
 
-const (
-	// doubtfulTime is how long the end of a server is withdrawn if its failure domain turns out
-	// to be unreachable, maxObserved bounds the ends that may be.
-	doubtfulTime = 200 * time.Millisecond
-	maxObserved  = 256
-)
-
-// observedEnd is the end of a server under a request, as this host has observed it.
-type observedEnd struct {
-	fingerprint vetter.Fingerprint
-	end         vetter.End
-	domain      string
-	at          time.Time
-}
-
 // maxCanaries is the number of sub-requests that are tried alone, one after the other, until
 // one ends well.
 const maxCanaries = 3
@@ -254,8 +239,6 @@
 		m.vetter.ServerLost(now, end)
 	} else {
 		m.vetter.ServerEnded(now, r.subject(), end, r.canary)
-		m.observed = append(m.observed, observedEnd{r.fingerprint, end, a.server.Domain, now})
-		m.observed = m.observed[max(0, len(m.observed)-maxObserved):]
 	}
 	m.applyVerdicts(now)
 	if m.requests[r.id] != r || (r.canary && !canary) {
@@ -271,18 +254,6 @@
 	return true
 }
 
-// withdrawEnds withdraws the ends of servers that this host has observed shortly before their
-// failure domain has become unreachable: the path is cut instead.
-func (m *Machine) withdrawEnds(now time.Time, domain string) {
-	for _, o := range m.observed {
-		if o.domain == domain && now.Sub(o.at) < doubtfulTime {
-			m.vetter.Withdraw(now, o.fingerprint, o.end)
-		}
-	}
-	m.observed = slices.DeleteFunc(m.observed, func(o observedEnd) bool { return o.domain == domain })
-	m.applyVerdicts(now)
-}
-
 // ranWell records that a run of a request has ended without the end of its server, and sends
 // what has been held back until then.
 func (m *Machine) ranWell(now time.Time, r *request) {
--- a/pkg/coordination/vetter/vetter.go
+++ b/pkg/coordination/vetter/vetter.go
@@ -302,14 +302,6 @@
 	v.update(now, e, Record{Cleared: e.Ends}, e.lastEnd)
 }
 
-// Withdraw records that a server has not ended under a request after all.
-func (v *Vetter) Withdraw(now time.Time, f Fingerprint, end End) {
-	e := v.entries[f]
-	if e != nil && contains(e.Ends, end) {
-		v.update(now, e, Record{Cleared: []End{end}}, e.lastEnd)
-	}
-}
-
 // Decide applies a decision of an operator about a request.
 func (v *Vetter) Decide(now time.Time, f Fingerprint, kind Kind) {
 	e := v.entries[f]
