--- a/cmd/lab/cmds/cmds.go
+++ b/cmd/lab/cmds/cmds.go
@@ -98,6 +98,7 @@
 	sub.Int(&cfg.HostsPerDomain, "n", "hosts", "Hosts in each of three failure domains")
 	sub.Int(&cfg.Shards, "s", "shards", "Shards of the query service")
 	sub.String(&cfg.Limit, "l", "limit", "Requests a second that each backend server announces as its limit (default: none)")
+	sub.String(&cfg.Deadly, "", "deadly", "Text in the path or query of requests that crash the backend servers which run them (default: none)")
 	cut := ""
 	cfg.CutAfter, cfg.CutFor = 5*time.Second, 5*time.Second
 	sub.String(&cut, "c", "cut", "How hosts are cut off from all backend servers: silent, reset or refuse (default: not)")
--- a/internal/lab/standin/site.go
+++ b/internal/lab/standin/site.go
@@ -48,6 +48,9 @@
 	Shards         int
 	// Limit is the Server-Limit header of all servers, in requests per second; empty for none.
 	Limit string
+	// Deadly is a text in the path or query of the requests that crash the servers; empty for
+	// none.
+	Deadly string
 	// CutHosts is the number of hosts whose paths to all servers are interrupted, those of
 	// the first failure domain first.
 	CutHosts int
@@ -161,7 +164,7 @@
 	slices.SortFunc(file.Rows, func(a, b uint64) int { return cmp.Compare(b, a) })
 	file.Rows = file.Rows[:min(siteRows, len(file.Rows))]
 	for _, server := range s.servers {
-		server.Behave(Behaviour{Limit: cfg.Limit})
+		server.Behave(Behaviour{Limit: cfg.Limit, Deadly: cfg.Deadly})
 	}
 	s.configure(shards)
 	return s.writeSettings(cfg, &file)
