internal/forwarder: what reads the records gets its result from the engine or an error

Operators who listed or changed verdicts at a host that stops got 200 with an empty list, or 200 for a decision that was not applied; a comparison of records went on with a digest of 0.

Cause: a call of the engine that its caller had given up ran later and wrote to variables that the caller still read; of five callers one looked at whether the call had run.

Change: the call returns its result over a channel, or an error, which the handlers answer with 503.

The new test fails before (200 != 503) and passes now.

--- a/internal/forwarder/records.go
+++ b/internal/forwarder/records.go
@@ -110,7 +110,12 @@
 	return message, err
 }
 
-func encodeJSON(w http.ResponseWriter, answer any) {
+// answerJSON sends an answer, or why the host can't give one.
+func answerJSON(w http.ResponseWriter, answer any, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	// An error means that the other process is gone.
 	_ = json.NewEncoder(w).Encode(answer)
@@ -124,8 +129,7 @@
 		http.Error(w, fmt.Sprintf("not a message with records: %v", err), http.StatusBadRequest)
 		return
 	}
-	var answer recordsAnswer
-	ok := f.engine.callVetter(r.Context(), func(now time.Time, v *vetter.Vetter) {
+	answer, err := callVetter(r.Context(), f.engine, func(now time.Time, v *vetter.Vetter) (answer recordsAnswer) {
 		f.mergeRecords(now, v, r.RemoteAddr, message.Records)
 		switch {
 		case message.Digest != nil:
@@ -134,12 +138,9 @@
 			records, wanted := v.Compare(now, message.Summary)
 			answer.Records, answer.Wanted = decoder.NewList(records), decoder.NewList(wanted)
 		}
+		return answer
 	})
-	if !ok {
-		http.Error(w, "the host stops", http.StatusServiceUnavailable)
-		return
-	}
-	encodeJSON(w, answer)
+	answerJSON(w, answer, err)
 }
 
 // mergeRecords merges records of another host and logs those that can't be used.
@@ -151,13 +152,14 @@
 
 // serveVerdicts lists the requests under which servers have ended.
 func (f *Forwarder) serveVerdicts(w http.ResponseWriter, r *http.Request) {
-	verdicts := []Verdict{}
-	f.engine.callVetter(r.Context(), func(now time.Time, v *vetter.Vetter) {
+	verdicts, err := callVetter(r.Context(), f.engine, func(now time.Time, v *vetter.Vetter) []Verdict {
+		verdicts := []Verdict{}
 		for _, record := range v.All(now) {
 			verdicts = append(verdicts, Verdict{Record: record, Verdict: v.Judge(now, record.Fingerprint).String()})
 		}
+		return verdicts
 	})
-	encodeJSON(w, verdicts)
+	answerJSON(w, verdicts, err)
 }
 
 // serveDecision applies a decision of an operator, which then spreads to all hosts.
@@ -169,8 +171,11 @@
 		return
 	}
 	f.cfg.Logger.Warn(logger.VerdictDecided, "fingerprint", message.Fingerprint, "decision", message.Decision, "by", r.RemoteAddr)
-	f.engine.callVetter(r.Context(), func(now time.Time, v *vetter.Vetter) { v.Decide(now, message.Fingerprint, kind) })
-	encodeJSON(w, message)
+	_, err = callVetter(r.Context(), f.engine, func(now time.Time, v *vetter.Vetter) vetter.Fingerprint {
+		v.Decide(now, message.Fingerprint, kind)
+		return message.Fingerprint
+	})
+	answerJSON(w, message, err)
 }
 
 // FetchVerdicts returns what the host at a control address knows of requests under which servers
@@ -244,21 +249,25 @@
 // compareRecordsWith gets the records in which a partner differs, and sends it those that it
 // lacks.
 func (f *Forwarder) compareRecordsWith(ctx context.Context, address string) error {
-	var digest uint64
-	var summary vetter.Summary
-	f.engine.callVetter(ctx, func(_ time.Time, v *vetter.Vetter) { digest, summary = v.Digest(), v.Summary() })
-	answer, err := f.exchangeRecords(ctx, address, recordsMessage{Digest: &digest})
+	type content struct {
+		digest  uint64
+		summary vetter.Summary
+	}
+	own, err := callVetter(ctx, f.engine, func(_ time.Time, v *vetter.Vetter) content { return content{v.Digest(), v.Summary()} })
+	if err != nil {
+		return err
+	}
+	answer, err := f.exchangeRecords(ctx, address, recordsMessage{Digest: &own.digest})
 	if err != nil || answer.Equal {
 		return err
 	}
-	answer, err = f.exchangeRecords(ctx, address, recordsMessage{Summary: summary})
+	answer, err = f.exchangeRecords(ctx, address, recordsMessage{Summary: own.summary})
 	if err != nil {
 		return err
 	}
-	var records []vetter.Record
-	f.engine.callVetter(ctx, func(now time.Time, v *vetter.Vetter) {
+	records, err := callVetter(ctx, f.engine, func(now time.Time, v *vetter.Vetter) []vetter.Record {
 		f.mergeRecords(now, v, address, answer.Records)
-		records = v.Records(now, answer.Wanted.Elements)
+		return v.Records(now, answer.Wanted.Elements)
 	})
 	if len(records) > 0 {
 		_, err = f.exchangeRecords(ctx, address, recordsMessage{Records: decoder.NewList(records)})
--- a/internal/forwarder/records_test.go
+++ b/internal/forwarder/records_test.go
@@ -1,14 +1,21 @@
 package forwarder
 
 import (
+	"context"
 	"encoding/json"
+	"io"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rhubarbpost/rhubarbpost/internal/logger"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/vetter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/decoder"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/queuer"
 )
 
 // TestHostWithoutRecordsAsksForAll guards against a host that has just started and learns the
@@ -23,6 +30,28 @@
 	is.True(message.Summary != nil)
 }
 
+// TestCallsOfRecordsFailOnceTheEngineHasStopped guards against answers that no engine has given.
+func TestCallsOfRecordsFailOnceTheEngineHasStopped(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	f := &Forwarder{cfg: Config{Logger: logger.New(io.Discard, logger.Config{})}, engine: &engine{queue: queuer.New[event](3), ctx: ctx}}
+	calls := http.NewServeMux()
+	calls.HandleFunc("POST "+recordsPath, f.serveRecords)
+	calls.HandleFunc("GET "+verdictsPath, f.serveVerdicts)
+	calls.HandleFunc("POST "+verdictsPath, f.serveDecision)
+	for _, r := range []*http.Request{
+		httptest.NewRequest(http.MethodPost, recordsPath, strings.NewReader(`{"digest":1}`)),
+		httptest.NewRequest(http.MethodGet, verdictsPath, http.NoBody),
+		httptest.NewRequest(http.MethodPost, verdictsPath, strings.NewReader(`{"decision":"lift"}`)),
+	} {
+		w := httptest.NewRecorder()
+		calls.ServeHTTP(w, r)
+		is.Equal(w.Code, http.StatusServiceUnavailable)
+	}
+	is.True(f.compareRecordsWith(t.Context(), "192.0.2.1:1") != nil)
+}
+
 // FuzzRecordsMessage decodes messages of other hosts: what can be used is, whatever else is in
 // them, and the sets stay bounded.
 func FuzzRecordsMessage(f *testing.F) {
--- a/internal/forwarder/suspects.go
+++ b/internal/forwarder/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
@@ -69,23 +70,28 @@
 	return classifier.NewFailure(classifier.RequestBlocked, "%s", f).WithRetryAfter(until.Sub(now))
 }
 
-// callVetter runs a function on the records in the engine's goroutine and waits for it. It
-// reports false if the engine or the context has ended before.
-func (e *engine) callVetter(ctx context.Context, call func(now time.Time, v *vetter.Vetter)) bool {
-	done := make(chan struct{})
+// errEngineStopped means that the host stops, so that its records can't be read or changed.
+var errEngineStopped = errors.New("the host stops")
+
+// callVetter runs a function on the records in the engine's goroutine and returns its result. It
+// fails if ctx is done or the engine stops before; the function may still run then.
+func callVetter[T any](ctx context.Context, e *engine, call func(now time.Time, v *vetter.Vetter) T) (T, error) {
+	done := make(chan T, 1)
 	e.push(vetterCall(func(now time.Time) {
-		defer close(done)
-		call(now, e.machine.Vetter())
+		result := call(now, e.machine.Vetter())
 		e.act(e.machine.Step(now, &scatterer.RecordsMerged{}))
 		e.publishBlocked()
+		done <- result
 	}))
+	var none T
 	select {
-	case <-done:
-		return true
+	case result := <-done:
+		return result, nil
 	case <-ctx.Done():
+		return none, ctx.Err()
 	case <-e.ctx.Done():
+		return none, errEngineStopped
 	}
-	return false
 }
 
 // verdictChanged logs the changed verdict on a request with its evidence.
--- a/internal/forwarder/tokens.go
+++ b/internal/forwarder/tokens.go
@@ -172,11 +172,7 @@
 	}
 	f.logRejected(ask.Host, ask.Asks.Rejected)
 	answer, err := f.answerAsk(r.Context(), ask)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		return
-	}
-	encodeJSON(w, answer)
+	answerJSON(w, answer, err)
 }
 
 func (f *Forwarder) answerAsk(ctx context.Context, ask tokenAsk) (tokenGrant, error) {
