pkg/coordination/vetter: a blocked request isn't cleared by another one that is blocked later

When another deadly request that had run at the same few servers was blocked with more ends, the first one kept too few of its own and was cleared, and so on in turn (blocked 4, suspected 2, blocked 4 within a second).

Change: who observes the end that blocks a request adds by which ends it was blocked to its record. As long as one of them is open and another blocked request doesn't account for all ends, it stays blocked. A request that only ran beside a deadly one has no end of its own and is cleared as before.

Measured: TestDeadlyRequestsDoNotClearEachOther fails before.

--- a/pkg/coordination/vetter/exchange.go
+++ b/pkg/coordination/vetter/exchange.go
@@ -187,7 +187,7 @@
 // sent.
 func (r Record) normalized() Record {
 	r.Route, r.Service, r.Request = cleanText(r.Route), cleanText(r.Service), cleanText(r.Request)
-	for _, set := range []*[]End{&r.Ends, &r.Trials, &r.Relapses, &r.Cleared} {
+	for _, set := range []*[]End{&r.Ends, &r.Trials, &r.Relapses, &r.Cleared, &r.Held} {
 		*set = union(nil, *set)
 	}
 	return r
--- a/pkg/coordination/vetter/record.go
+++ b/pkg/coordination/vetter/record.go
@@ -110,7 +110,9 @@
 	Relapses []End `json:"relapses,omitempty"`
 	// Cleared are those of Ends that a later run which ended well has shown to have another
 	// cause.
-	Cleared  []End    `json:"cleared,omitempty"`
+	Cleared []End `json:"cleared,omitempty"`
+	// Held are those of Ends by which the observer of the last one found the request blocked.
+	Held     []End    `json:"held,omitempty"`
 	Decision Decision `json:"decision"`
 	// EndedMillisAgo is the time since the last end was observed.
 	EndedMillisAgo int64 `json:"endedMillisAgo"`
@@ -139,7 +141,7 @@
 			return fmt.Errorf("the record of %s has a trial with an age of %d ms", r.Fingerprint, trial.MillisAgo)
 		}
 	}
-	for _, set := range [][]End{r.Ends, r.Trials, r.Relapses, r.Cleared} {
+	for _, set := range [][]End{r.Ends, r.Trials, r.Relapses, r.Cleared, r.Held} {
 		if len(set) > maxSetLen {
 			return fmt.Errorf("a set of the record of %s has %d elements, more than %d", r.Fingerprint, len(set), maxSetLen)
 		}
@@ -155,9 +157,10 @@
 	r.Trials = union(r.Trials, other.Trials)
 	r.Relapses = union(r.Relapses, other.Relapses)
 	r.Cleared = union(r.Cleared, other.Cleared)
+	r.Held = union(r.Held, other.Held)
 	r.Decision = r.Decision.merge(other.Decision)
 	changed := !slices.Equal(r.Ends, before.Ends) || !slices.Equal(r.Trials, before.Trials) ||
-		!slices.Equal(r.Relapses, before.Relapses) || !slices.Equal(r.Cleared, before.Cleared) || r.Decision != before.Decision
+		!slices.Equal(r.Relapses, before.Relapses) || !slices.Equal(r.Cleared, before.Cleared) || !slices.Equal(r.Held, before.Held) || r.Decision != before.Decision
 	return r, changed
 }
 
@@ -206,6 +209,13 @@
 	return r.Decision.Kind == Pinned || (len(open) >= blockingEnds && intersects(open, r.Trials))
 }
 
+// holds reports whether the request stays blocked though other blocked requests account for all
+// but some ends.
+func (r Record) holds(left []End) bool {
+	open := r.open()
+	return len(left) > 0 && intersects(r.Held, open) && r.blocks(open)
+}
+
 // life returns how long the record is remembered after the last end.
 func (r Record) life() time.Duration {
 	open := r.open()
@@ -224,7 +234,7 @@
 func (r Record) digest() uint64 {
 	h := xxhash.New()
 	_, _ = h.Write(r.Fingerprint[:])
-	for _, set := range [][]End{r.Ends, r.Trials, r.Relapses, r.Cleared} {
+	for _, set := range [][]End{r.Ends, r.Trials, r.Relapses, r.Cleared, r.Held} {
 		_, _ = fmt.Fprintf(h, "|%d", set)
 	}
 	_, _ = fmt.Fprintf(h, "|%d", r.Decision)
--- a/pkg/coordination/vetter/vetter.go
+++ b/pkg/coordination/vetter/vetter.go
@@ -291,6 +291,9 @@
 		added.Relapses = added.Ends
 	}
 	v.update(now, e, added, now)
+	if e.blocks(e.left) && e.Decision.Kind != Pinned {
+		v.update(now, e, Record{Held: e.left}, now)
+	}
 }
 
 // RanWell records that a run of a request has ended without the end of its server.
@@ -381,7 +384,7 @@
 	for _, e := range group {
 		open := e.open()
 		e.left = slices.DeleteFunc(slices.Clone(open), func(end End) bool { return accounted[end] })
-		blocked := e.blocks(e.left)
+		blocked := e.blocks(e.left) || e.holds(e.left)
 		if blocked != e.blocked {
 			v.blocked += map[bool]int{true: 1, false: -1}[blocked]
 			e.blocked = blocked
--- a/pkg/coordination/vetter/vetter_test.go
+++ b/pkg/coordination/vetter/vetter_test.go
@@ -95,6 +95,24 @@
 	}
 }
 
+// TestDeadlyRequestsDoNotClearEachOther guards against blocked requests that run again since another
+// one was blocked later under which most of the same servers ended.
+func TestDeadlyRequestsDoNotClearEachOther(t *testing.T) {
+	is := is.New(t)
+	v, other := newVetter(1), newVetter(2)
+	first, second := subject(1), subject(2)
+	crash(v, start, first, 1, 2, 3)
+	crash(v, start, second, 2, 3, 5, 6, 7)
+	for _, s := range []Subject{first, second} {
+		is.Equal(v.Judge(start, s.Fingerprint), Blocked)
+	}
+	is.Equal(len(other.Merge(start, v.All(start))), 0)
+	for _, s := range []Subject{first, second} {
+		is.Equal(other.Judge(start, s.Fingerprint), Blocked)
+	}
+	is.Equal(v.Digest(), other.Digest())
+}
+
 // TestCanceledRunCountsOnceItsServerEnds has a server end under another request after a run
 // there was canceled.
 func TestCanceledRunCountsOnceItsServerEnds(t *testing.T) {
