pkg/coordination/vetter: a server that ends again counts again while the store is away

Cause: an end is told by the server and the start that the list has of it. With the store silent the list had no new starts, so that each further end of a server was the same one, for which another blocked request accounted.

Change: an end that is seen a second or more after this host learnt of the last one of the same start is another one. No clocks are compared: a host that doesn't know the earlier end takes the later one for it, which counts too little, never too much.

Measured: TestServerThatEndsAgainCountsAgain fails before (allowed, not suspected).

--- a/pkg/coordination/vetter/record.go
+++ b/pkg/coordination/vetter/record.go
@@ -31,6 +31,11 @@
 	return End(xxhash.Sum64String(fmt.Sprintf("%d %s", startedAtMillis, server)))
 }
 
+// again returns the end of the server's nth later run whose start isn't known.
+func (e End) again(n int) End {
+	return End(xxhash.Sum64String(fmt.Sprintf("%d again %d", e, n)))
+}
+
 // Subject is a request with what operators need to recognise it.
 type Subject struct {
 	Fingerprint Fingerprint
--- a/pkg/coordination/vetter/vetter.go
+++ b/pkg/coordination/vetter/vetter.go
@@ -33,6 +33,10 @@
 	// maxExposures bounds the canceled runs that are remembered.
 	exposureLife = 300 * time.Millisecond
 	maxExposures = 256
+	// restartTime is less than a server takes to serve again after its end.
+	restartTime = time.Second
+	// maxOccurrences bounds the ends of one server that are told apart by the time between them.
+	maxOccurrences = 64
 	// suspectRetryAfter is the Retry-After of a request while a trial of it runs.
 	suspectRetryAfter = 250 * time.Millisecond
 )
@@ -110,6 +114,8 @@
 	entries map[Fingerprint]*entry
 	// byEnd has the requests of each end.
 	byEnd map[End]map[Fingerprint]*entry
+	// knownAt has the time at which each end became known here.
+	knownAt map[End]time.Time
 	// blocked counts the blocked requests.
 	blocked int
 	// dirty has the requests whose records have changed since Changed returned them.
@@ -124,7 +130,7 @@
 // New returns a vetter without records, which draws the IDs of trials from a source.
 func New(random *rand.Rand) *Vetter {
 	return &Vetter{
-		entries: make(map[Fingerprint]*entry), byEnd: make(map[End]map[Fingerprint]*entry),
+		entries: make(map[Fingerprint]*entry), byEnd: make(map[End]map[Fingerprint]*entry), knownAt: make(map[End]time.Time),
 		dirty: make(map[Fingerprint]bool), verdicts: make(map[Fingerprint]Verdict), random: random,
 	}
 }
@@ -253,18 +259,39 @@
 // against requests whose run there was canceled shortly before. The run was a trial if nothing
 // else of the request ran.
 func (v *Vetter) ServerEnded(now time.Time, s Subject, end End, trial bool) {
+	end = v.occurrence(now, end)
 	v.addEnd(now, s, end, trial)
 	v.blameExposed(now, end)
 }
 
 // ServerLost records that a server has ended under other requests alone.
 func (v *Vetter) ServerLost(now time.Time, end End) {
-	v.blameExposed(now, end)
+	v.blameExposed(now, v.occurrence(now, end))
+}
+
+// occurrence returns which end of a server an observed one is. The list of servers may be too old
+// to tell that the server has started again since an earlier one.
+func (v *Vetter) occurrence(now time.Time, listed End) End {
+	if v.byEnd[listed] == nil {
+		return listed
+	}
+	last := listed
+	for n := 1; n < maxOccurrences; n++ {
+		next := listed.again(n)
+		if v.byEnd[next] == nil {
+			if now.Sub(v.knownAt[last]) < restartTime {
+				return last
+			}
+			return next
+		}
+		last = next
+	}
+	return last
 }
 
 func (v *Vetter) blameExposed(now time.Time, end End) {
 	for _, x := range v.exposures {
-		if x.end == end && now.Sub(x.at) < exposureLife {
+		if now.Sub(x.at) < exposureLife && v.occurrence(now, x.end) == end {
 			v.addEnd(now, x.subject, end, false)
 		}
 	}
@@ -360,6 +387,7 @@
 	for _, end := range merged.Ends {
 		if v.byEnd[end] == nil {
 			v.byEnd[end] = make(map[Fingerprint]*entry)
+			v.knownAt[end] = now
 		}
 		v.byEnd[end][e.Fingerprint] = e
 	}
@@ -460,6 +488,7 @@
 		delete(v.byEnd[end], e.Fingerprint)
 		if len(v.byEnd[end]) == 0 {
 			delete(v.byEnd, end)
+			delete(v.knownAt, end)
 		}
 	}
 }
--- a/pkg/coordination/vetter/vetter_test.go
+++ b/pkg/coordination/vetter/vetter_test.go
@@ -113,6 +113,29 @@
 	is.Equal(v.Digest(), other.Digest())
 }
 
+// TestServerThatEndsAgainCountsAgain guards against a deadly request that isn't blocked since the list
+// of servers, whose store is away, doesn't tell that they have started again.
+func TestServerThatEndsAgainCountsAgain(t *testing.T) {
+	is := is.New(t)
+	v, other := newVetter(1), newVetter(2)
+	first, second := subject(1), subject(2)
+	crash(v, start, first, 1, 2, 3)
+	is.Equal(len(other.Merge(start, v.All(start))), 0)
+	now := start.Add(3 * time.Second)
+	for i, host := range []*Vetter{v, other} {
+		host.ServerEnded(now, second, 1, false)
+		host.ServerEnded(now, second, 2, false)
+		host.ServerEnded(now.Add(restartTime/2), second, 2, false) // the same end, seen later
+		is.Equal(host.Judge(now, second.Fingerprint), Suspected)
+		if i == 1 {
+			is.Equal(host.Digest(), v.Digest()) // hosts take the same end for the same
+		}
+	}
+	v.ServerEnded(now.Add(3*time.Second), second, 2, true)
+	is.Equal(v.Judge(now, second.Fingerprint), Blocked)
+	is.Equal(v.Judge(now, first.Fingerprint), Blocked)
+}
+
 // TestCanceledRunCountsOnceItsServerEnds has a server end under another request after a run
 // there was canceled.
 func TestCanceledRunCountsOnceItsServerEnds(t *testing.T) {
