pkg/coordination/vetter: a merged record that another one displaces is not sent

Found on reading the change again: a host would end with a nil pointer dereference while its list of suspects is full.

Cause: a merge marked its record as changed after it had added those of canceled runs at the same server. Such an entry may displace the merged one, the oldest, and the next message looked the mark up in vain.

Change: the record is marked where it changes, before others are added; what update and mergeTrials returned for that goes.

Measured: TestMergedRecordMayBeDisplacedByAnother panics before.

--- a/pkg/coordination/vetter/exchange.go
+++ b/pkg/coordination/vetter/exchange.go
@@ -204,19 +204,17 @@
 		e = v.insert(now, r)
 		e.lastEnd = lastEnd
 	}
-	changed := v.update(now, e, r, lastEnd)
+	v.update(now, e, r, lastEnd)
+	v.mergeTrials(now, e, r.Running)
 	for _, end := range r.open() {
+		// An entry that this adds may displace the merged one.
 		v.blameExposed(now, end)
 	}
-	if v.mergeTrials(now, e, r.Running) || changed {
-		v.dirty[r.Fingerprint] = true
-	}
 }
 
-// mergeTrials adds the trials of another host and reports whether that is news.
-func (v *Vetter) mergeTrials(now time.Time, e *entry, trials []Trial) bool {
+// mergeTrials adds the trials of another host.
+func (v *Vetter) mergeTrials(now time.Time, e *entry, trials []Trial) {
 	e.pruneTrials(now)
-	news := false
 	for _, told := range trials {
 		started := now.Add(-time.Duration(told.MillisAgo) * time.Millisecond)
 		if now.Sub(started) >= trialLife {
@@ -226,11 +224,10 @@
 		switch {
 		case i < 0:
 			e.trials = append(e.trials, trial{id: told.ID, started: started, ended: told.Ended})
-			news = true
+			v.dirty[e.Fingerprint] = true
 		case told.Ended && !e.trials[i].ended:
 			e.trials[i].ended = true
-			news = true
+			v.dirty[e.Fingerprint] = true
 		}
 	}
-	return news
 }
--- a/pkg/coordination/vetter/vetter.go
+++ b/pkg/coordination/vetter/vetter.go
@@ -379,10 +379,10 @@
 }
 
 // update merges sets into an entry, which then last changed at a time.
-func (v *Vetter) update(now time.Time, e *entry, added Record, lastEnd time.Time) bool {
+func (v *Vetter) update(now time.Time, e *entry, added Record, lastEnd time.Time) {
 	merged, changed := e.withSets(added)
 	if !changed {
-		return false
+		return
 	}
 	for _, end := range merged.Ends {
 		if v.byEnd[end] == nil {
@@ -397,7 +397,6 @@
 	}
 	v.dirty[e.Fingerprint] = true
 	v.judgeGroup(now, e)
-	return true
 }
 
 // judgeGroup decides anew about all requests that share ends with one. The request that most
--- a/pkg/coordination/vetter/vetter_test.go
+++ b/pkg/coordination/vetter/vetter_test.go
@@ -218,6 +218,26 @@
 	is.Equal(v.Judge(start, records[0].Fingerprint), Blocked) // those that matter most come first
 }
 
+// TestMergedRecordMayBeDisplacedByAnother guards against a record that is to be sent though another
+// one, which the merge has added, has taken its place.
+func TestMergedRecordMayBeDisplacedByAnother(t *testing.T) {
+	is := is.New(t)
+	v, other := newVetter(1), newVetter(2)
+	for i := range maxSuspects - 1 {
+		v.ServerEnded(start, subject(i), End(100+i), false)
+	}
+	v.Changed(start)
+	v.Expose(start, subject(1000), 1)
+	merged := subject(1001)
+	other.ServerEnded(start.Add(-time.Second), merged, 1, false)
+	is.Equal(len(v.Merge(start, other.All(start))), 0)
+	is.True(!v.Doubted(merged.Fingerprint)) // the oldest suspect
+	is.True(v.Doubted(subject(1000).Fingerprint))
+	for _, r := range v.Changed(start) {
+		is.True(r.Fingerprint != merged.Fingerprint)
+	}
+}
+
 func TestOperatorsLiftAndPin(t *testing.T) {
 	is := is.New(t)
 	here, there := newVetter(1), newVetter(2)
