--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -85,8 +85,6 @@
 	code classifier.Code
 	// done means that the sub-request is answered or has failed for good.
 	done bool
-	// held means that it isn't sent again until another sub-request has ended well.
-	held bool
 	// relayed means that it is sent through a peer first, awaitsRelay that it is to be sent
 	// through one since no server can be reached.
 	relayed     bool
@@ -112,14 +110,15 @@
 	// forwarded means that another host has sent the request, slice that it is a slice.
 	forwarded bool
 	slice     bool
-	// fingerprint identifies the request to the vetter, method and target to operators. A canary runs at one server at a time until
-	// a sub-request has ended well; canaries counts those sent so, trial is the ID of its trial.
+	// fingerprint identifies the request to the vetter, method and target to operators. A
+	// canary runs at one server at a time until a sub-request has ended well; canaries counts
+	// those sent so, trial is the ID of its trial.
 	fingerprint    vetter.Fingerprint
 	method, target string
 	canary         bool
 	canaries       int
 	trial          uint64
-	// held counts the sub-requests that were held back.
+	// held counts the sub-requests that aren't sent again until another one has ended well.
 	held int
 	// verdictBy is until when the request waits for the end of a trial of another one with the
 	// same fingerprint, zero if it doesn't; vetted is its arrival if it has not begun.
@@ -704,7 +703,7 @@
 		sub.answer = a.id
 		m.ranWell(now, r)
 	}
-	if len(sub.outstanding) > 0 || m.hold(r, sub, e) {
+	if len(sub.outstanding) > 0 || m.hold(r, e) {
 		return
 	}
 	code := m.retry(now, r, a.subRequest, e)
--- a/pkg/coordination/scatterer/vetting.go
+++ b/pkg/coordination/scatterer/vetting.go
@@ -201,7 +201,6 @@
 // it can't be sent.
 func (m *Machine) resend(now time.Time, r *request, i int) {
 	sub := &r.subRequests[i]
-	sub.held = false
 	reason := ReasonFirst
 	if sub.possibleArrivals > 0 {
 		reason = ReasonRetry
@@ -284,11 +283,10 @@
 
 // hold keeps a sub-request back whose server has ended, until another one of the request has
 // ended well, and reports whether it does.
-func (m *Machine) hold(r *request, sub *subRequest, e *AttemptEnded) bool {
+func (m *Machine) hold(r *request, e *AttemptEnded) bool {
 	if !m.cfg.Vetting || !r.sharded || r.answeredCount > 0 || r.canary || (!e.ServerEnded && !e.Doubted) {
 		return false
 	}
-	sub.held = true
 	r.held++
 	return true
 }
