--- a/internal/forwarder/records.go
+++ b/internal/forwarder/records.go
@@ -1,12 +1,8 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -71,59 +67,9 @@
 // decisions are the decisions of operators by name.
 var decisions = map[string]vetter.Kind{"lift": vetter.Lifted, "pin": vetter.Pinned}
 
-// postJSON sends a message to another process of this system and decodes its answer.
-func postJSON[A any](ctx context.Context, client *http.Client, url string, message any, limit int64) (A, error) {
-	var none A
-	body, err := json.Marshal(message)
-	if err != nil {
-		return none, err
-	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return none, err
-	}
-	return callJSON[A](client, r, limit)
-}
-
-// callJSON sends a request and decodes an answer of at most limit bytes.
-func callJSON[A any](client *http.Client, r *http.Request, limit int64) (A, error) {
-	var answer A
-	response, err := client.Do(r)
-	if err != nil {
-		return answer, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return answer, fmt.Errorf("%w: status %d", errCallRejected, response.StatusCode)
-	}
-	return answer, json.NewDecoder(io.LimitReader(response.Body, limit)).Decode(&answer)
-}
-
-// errCallRejected means that a host rejects a call: it doesn't know the other hosts yet, or runs
-// a build without the call.
-var errCallRejected = errors.New("the host rejects the call")
-
-// decodeJSON decodes a message of at most limit bytes.
-func decodeJSON[M any](w http.ResponseWriter, r *http.Request, limit int64) (M, error) {
-	var message M
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit)).Decode(&message)
-	return message, err
-}
-
-// answerJSON sends an answer, or why the host can't give one.
-func answerJSON(w http.ResponseWriter, answer any, err error) {
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	// An error means that the other process is gone.
-	_ = json.NewEncoder(w).Encode(answer)
-}
-
 // serveRecords answers a message with records of another host.
 func (f *Forwarder) serveRecords(w http.ResponseWriter, r *http.Request) {
-	message, err := decodeJSON[recordsMessage](w, r, maxRecordBytes)
+	message, err := decoder.Body[recordsMessage](r.Body, maxRecordBytes)
 	if err != nil {
 		f.cfg.Logger.Warn(logger.RecordsRejected, "peer", r.RemoteAddr, "error", err)
 		http.Error(w, fmt.Sprintf("not a message with records: %v", err), http.StatusBadRequest)
@@ -164,7 +110,7 @@
 
 // serveDecision applies a decision of an operator, which then spreads to all hosts.
 func (f *Forwarder) serveDecision(w http.ResponseWriter, r *http.Request) {
-	message, err := decodeJSON[verdictMessage](w, r, maxRecordBytes)
+	message, err := decoder.Body[verdictMessage](r.Body, maxRecordBytes)
 	kind, ok := decisions[message.Decision]
 	if err != nil || !ok {
 		http.Error(w, fmt.Sprintf("decision %q (allowed: lift, pin), error %v", message.Decision, err), http.StatusBadRequest)
--- a/internal/forwarder/tokens.go
+++ b/internal/forwarder/tokens.go
@@ -165,7 +165,7 @@
 // serveTokens answers an ask of another host. That host has found those preferred to this
 // one unreachable; if they are not, the ask is passed on, so that a single host allots.
 func (f *Forwarder) serveTokens(w http.ResponseWriter, r *http.Request) {
-	ask, err := decodeJSON[tokenAsk](w, r, maxAskBytes)
+	ask, err := decoder.Body[tokenAsk](r.Body, maxAskBytes)
 	if err != nil || ask.Host == "" || len(ask.Asks.Elements) == 0 {
 		http.Error(w, fmt.Sprintf("not an ask for tokens: %v", err), http.StatusBadRequest)
 		return
