--- a/internal/forwarder/records.go
+++ b/internal/forwarder/records.go
@@ -195,19 +195,19 @@
 // compareRecordsWith gets the records in which a partner differs, and sends it those that it
 // lacks.
 func (f *Forwarder) compareRecordsWith(ctx context.Context, address string) error {
-	type content struct {
-		digest  uint64
-		summary vetter.Summary
-	}
-	own, err := callVetter(ctx, f.engine, func(_ time.Time, v *vetter.Vetter) content { return content{v.Digest(), v.Summary()} })
+	digest, err := callVetter(ctx, f.engine, func(_ time.Time, v *vetter.Vetter) uint64 { return v.Digest() })
 	if err != nil {
 		return err
 	}
-	answer, err := f.exchangeRecords(ctx, address, recordsMessage{Digest: &own.digest})
+	answer, err := f.exchangeRecords(ctx, address, recordsMessage{Digest: &digest})
 	if err != nil || answer.Equal {
 		return err
 	}
-	answer, err = f.exchangeRecords(ctx, address, recordsMessage{Summary: own.summary})
+	summary, err := callVetter(ctx, f.engine, func(_ time.Time, v *vetter.Vetter) vetter.Summary { return v.Summary() })
+	if err != nil {
+		return err
+	}
+	answer, err = f.exchangeRecords(ctx, address, recordsMessage{Summary: summary})
 	if err != nil {
 		return err
 	}
