--- a/internal/forwarder/follower.go
+++ b/internal/forwarder/follower.go
@@ -70,6 +70,13 @@
 	}
 }
 
+// logUnreadable logs the objects of a page that can't be read; the others are used.
+func (f *Forwarder) logUnreadable(page storer.Page) {
+	for _, rejected := range page.Rejected {
+		f.cfg.Logger.Warn(logger.RegistrationRejected, "revision", page.Version, "error", rejected)
+	}
+}
+
 // readStore reads from the store and returns the resulting event, or Rewound if
 // the store has been rewound in the meantime.
 func (f *Forwarder) readStore(ctx context.Context, name string, read func(context.Context) (storer.Page, watcher.Event, error)) watcher.Event {
@@ -77,9 +84,7 @@
 	defer cancel()
 	page, event, err := read(ctx)
 	f.metrics.storeCall(name, err)
-	for _, rejected := range page.Rejected {
-		f.cfg.Logger.Warn(logger.RegistrationRejected, "revision", page.Version, "error", rejected)
-	}
+	f.logUnreadable(page)
 	if f.eras.isOutdated(ctx, page.Version.Era(), err) {
 		return &watcher.Rewound{}
 	}
--- a/internal/forwarder/members.go
+++ b/internal/forwarder/members.go
@@ -117,9 +117,7 @@
 	if err != nil {
 		return err
 	}
-	for _, rejected := range page.Rejected {
-		f.cfg.Logger.Warn(logger.RegistrationRejected, "revision", page.Version, "error", rejected)
-	}
+	f.logUnreadable(page)
 	f.merge(slices.Concat(page.Objects, f.objects.MissingFrom(prefix, page)), origin{})
 	f.objects.SetComplete(prefix, page.Version)
 	return nil
