--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(ctx context.Context, s *stage, trouble bool) (held bool, err error){
 	"order-twice":    runOrderTwice,
 	"reload-at-stop": runReloadAtStop,
+	"term-twice":     runTermTwice,
 }
 
 func main() {
--- a/review/stage/reloadatstop.go
+++ b/review/stage/reloadatstop.go
@@ -27,6 +27,17 @@
 // runReloadAtStop stops a host by SIGTERM while it serves requests. With trouble, its settings
 // file changes 0.4 s later, which SIGHUP announces. Each request has to be answered.
 func runReloadAtStop(ctx context.Context, s *stage, trouble bool) (bool, error) {
+	return s.runStop(ctx, func(host *hostProcess) error {
+		if !trouble {
+			return nil
+		}
+		return s.reload(ctx, host)
+	})
+}
+
+// runStop stops a host by SIGTERM while it serves requests, calls a function, and reports whether
+// each request that was passed on to a server has been answered.
+func (s *stage) runStop(ctx context.Context, stopped func(host *hostProcess) error) (bool, error) {
 	s.configure("idempotent", "/bookings/", "counter", fetchDeadline, 2*time.Second)
 	err := s.addServers("counter", fetchServers, standin.Behaviour{Delay: fetchWork})
 	if err != nil {
@@ -55,7 +66,16 @@
 			s.notef("%s answered: %v", id, answers[i])
 		})
 	}
-	err = s.stopAndReload(ctx, host, trouble)
+	err = sleep(ctx, fetchBefore)
+	if err != nil {
+		return false, err
+	}
+	s.notef("SIGTERM to %s", host.name)
+	err = host.command.Process.Signal(syscall.SIGTERM)
+	if err != nil {
+		return false, err
+	}
+	err = stopped(host)
 	if err != nil {
 		return false, err
 	}
@@ -75,18 +95,9 @@
 	return held, nil
 }
 
-// stopAndReload sends SIGTERM to a host, and SIGHUP later if its settings file is to change.
-func (s *stage) stopAndReload(ctx context.Context, host *hostProcess, reload bool) error {
-	err := sleep(ctx, fetchBefore)
-	if err != nil {
-		return err
-	}
-	s.notef("SIGTERM to %s", host.name)
-	err = host.command.Process.Signal(syscall.SIGTERM)
-	if err != nil || !reload {
-		return err
-	}
-	err = sleep(ctx, reloadAfter)
+// reload changes the settings file of a host and sends SIGHUP.
+func (s *stage) reload(ctx context.Context, host *hostProcess) error {
+	err := sleep(ctx, reloadAfter)
 	if err != nil {
 		return err
 	}
