--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # held, 2 if the case couldn't run.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
-TROUBLE="${TROUBLE:-1}" exec review/bin/stage term-twice "review/4/record.txt"
+TROUBLE="${TROUBLE:-1}" exec review/bin/stage deadly-restart "review/4/record.txt"
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -23,6 +23,7 @@
 	"order-twice":    runOrderTwice,
 	"reload-at-stop": runReloadAtStop,
 	"term-twice":     runTermTwice,
+	"deadly-restart": runDeadlyRestart,
 }
 
 func main() {
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -127,22 +127,21 @@
 	return nil
 }
 
-// register writes the registration of a server each heartbeat. After a crash it is removed once
-// the server has been silent for serverSilence.
+// register writes the registration of a server each heartbeat while it runs. It is removed once the
+// server has been silent for serverSilence.
 func (s *stage) register(server *standin.Server) {
-	var crashed time.Time
+	lastSeen := time.Now()
 	for sequence := 1; ; sequence++ {
-		switch {
-		case server.Crashes() == 0:
-			registration := server.Registration("ready")
+		registration := server.Registration("ready")
+		starts := registration["born"].(int64)
+		if int64(server.Crashes()) < starts {
+			// The server runs: it has started once more than it has crashed.
 			registration["sequence"] = sequence
-			registration["born"] = s.begun.UnixMilli()
+			registration["born"] = s.begun.UnixMilli() + starts
 			s.store.Put("servers", server.ID, registration)
-		case crashed.IsZero():
-			crashed = time.Now()
-		case time.Since(crashed) >= serverSilence:
+			lastSeen = time.Now()
+		} else if time.Since(lastSeen) >= serverSilence {
 			s.store.Remove("servers", server.ID)
-			return
 		}
 		select {
 		case <-s.stop:
