--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,5 @@
 # held, 2 if the case couldn't run.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
+[ -x review/bin/stage ] && [ -x target/rhubarbpost ] || exit 2
 TROUBLE="${TROUBLE:-1}" exec review/bin/stage order-twice "review/1/record.txt"
