internal/exiter: SIGHUP is caught for the whole life of a process

Cause: reloader.Watch registered for SIGHUP and called signal.Stop when it returned, at SIGTERM, so that the signal had its default action afterwards. The record of the case shows the process ended by signal HUP 0.4 s into the drain. The same cause held before the listeners were open, and for entry, agent and console, which never caught the signal.

exiter.Notify now catches all three signals before a process reads its settings and until it ends; a SIGHUP that has no effect is logged (108). A pending stop precedes a pending SIGHUP.

--- a/cmd/lab/cmds/cmds.go
+++ b/cmd/lab/cmds/cmds.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -84,7 +86,8 @@
 	if err != nil {
 		return err
 	}
-	ctx, _ := exiter.Signals()
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
 	<-ctx.Done()
 	store.Close()
 	return nil
@@ -115,7 +118,8 @@
 		if err != nil {
 			return err
 		}
-		ctx, _ := exiter.Signals()
+		ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+		defer cancel()
 		<-ctx.Done()
 		site.Close()
 		return nil
@@ -169,7 +173,8 @@
 	}
 	store := adapter.OpenStore(settings.Platform, nil)
 	defer store.Close()
-	ctx, _ := exiter.Signals()
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
 	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	members := make([]*searcher.Member, 0, len(settings.Searchers))
@@ -220,7 +225,8 @@
 func runLoad(cfg generator.Config, stdout io.Writer) error {
 	store := adapter.OpenStore(cfg.Platform, nil)
 	defer store.Close()
-	ctx, _ := exiter.Signals()
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
 	summary, err := generator.Run(ctx, cfg, store)
 	if err != nil {
 		return err
--- a/cmd/rhubarbpost/cmds/host.go
+++ b/cmd/rhubarbpost/cmds/host.go
@@ -42,6 +42,7 @@
 }
 
 func (t *commandTree) runHost(file string) error {
+	signals := exiter.Notify()
 	content, err := os.ReadFile(file)
 	if err != nil {
 		return &exitError{code: exiter.Invalid, cause: err}
@@ -58,7 +59,6 @@
 	log := logger.New(limiter, cfg)
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(log.Output(logger.LibraryLogged))
-	ctx, secondSignal := exiter.Signals()
 	log.Info(logger.ProcessStarted, "version", version(), "domain", settings.Domain, "listen", settings.Listen.Callers, "store", settings.Store)
 	f, err := forwarder.New(forwarder.Config{
 		Settings: settings, OpenStore: func(address string, observe func(uint64)) forwarder.Store { return adapter.OpenStore(address, observe) }, Layout: adapter.Layout(), Dialect: adapter.Dialect{},
@@ -73,7 +73,7 @@
 		}
 		return err
 	}
-	reloader.Watch(ctx, file, content, func(data []byte, err error) {
+	reloader.Watch(signals.Stopped, reloader.Config{File: file, Content: content, Hangups: signals.Hangups, Changed: func(data []byte, err error) {
 		var next forwarder.Settings
 		if err == nil {
 			next, err = forwarder.ParseSettings(file, data)
@@ -83,8 +83,16 @@
 			return
 		}
 		f.Reload(next)
-	})
-	return stopGracefully(f.Stop, secondSignal)
+	}})
+	go logHangups(signals, log)
+	return stopGracefully(f.Stop, signals.StoppedAgain)
+}
+
+// logHangups logs each SIGHUP that has no effect, until the process ends.
+func logHangups(signals exiter.Signals, log *logger.Logger) {
+	for range signals.Hangups {
+		log.Info(logger.HangupIgnored)
+	}
 }
 
 // stopGracefully calls stop, which drains requests until its context ends; a
--- a/cmd/rhubarbpost/cmds/processes.go
+++ b/cmd/rhubarbpost/cmds/processes.go
@@ -30,9 +30,7 @@
 	file     string
 	settings loader.Settings
 	log      *logger.Logger
-	// ctx is canceled at the first stop signal, secondSignal is closed at the second.
-	ctx          context.Context
-	secondSignal <-chan struct{}
+	signals  exiter.Signals
 }
 
 // addProcess adds a long-running command with the flags that entry, agent and console share.
@@ -59,6 +57,7 @@
 	if file == "" {
 		return &exitError{code: exiter.Usage, cause: errors.New("--settings is required")}
 	}
+	signals := exiter.Notify()
 	settings, err := loader.Load(file, overrides)
 	if err != nil {
 		return &exitError{code: exiter.Invalid, cause: err}
@@ -66,9 +65,9 @@
 	cfg := settings.Log
 	cfg.Process, cfg.Host = name, settings.Name
 	log := logger.New(logs, cfg)
-	ctx, secondSignal := exiter.Signals()
+	go logHangups(signals, log)
 	log.Info(logger.ProcessStarted, "domain", settings.Domain, "listen", settings.Listen, "control", settings.Control)
-	return run(process{file: file, settings: settings, log: log, ctx: ctx, secondSignal: secondSignal})
+	return run(process{file: file, settings: settings, log: log, signals: signals})
 }
 
 // listenError logs that a listener could not be opened, and returns the error
@@ -89,8 +88,8 @@
 	if err != nil {
 		return p.listenError(err)
 	}
-	<-p.ctx.Done()
-	return stopGracefully(r.Stop, p.secondSignal)
+	<-p.signals.Stopped
+	return stopGracefully(r.Stop, p.signals.StoppedAgain)
 }
 
 func runAgent(p process) error {
@@ -110,7 +109,7 @@
 		c.Close()
 		return p.listenError(err)
 	}
-	<-p.ctx.Done()
+	<-p.signals.Stopped
 	p.log.Info(logger.StopBegun)
 	// Closing the controller ends its streams, which the listener would
 	// otherwise wait for.
@@ -139,7 +138,7 @@
 	defer cancel()
 	go func() {
 		select {
-		case <-p.secondSignal:
+		case <-p.signals.StoppedAgain:
 			cancel()
 		case <-ctx.Done():
 		}
@@ -169,7 +168,7 @@
 		return p.listenError(err)
 	}
 	p.log.Info(logger.ProcessReady)
-	<-p.ctx.Done()
+	<-p.signals.Stopped
 	p.log.Info(logger.StopBegun)
 	return p.shutdown(l)
 }
--- a/internal/exiter/exiter.go
+++ b/internal/exiter/exiter.go
@@ -1,7 +1,6 @@
 package exiter
 
 import (
-	"context"
 	"os"
 	"os/signal"
 	"syscall"
@@ -49,18 +48,29 @@
 	}
 }
 
-// Signals returns a context that is canceled at the first SIGTERM or SIGINT, and a
-// channel that is closed at the second.
-func Signals() (ctx context.Context, second <-chan struct{}) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	ctx, cancel := context.WithCancel(context.Background())
-	secondSignal := make(chan struct{})
+// Signals are the signals that a process has received.
+type Signals struct {
+	// Stopped is closed at the first SIGTERM or SIGINT, StoppedAgain at the second.
+	Stopped      <-chan struct{}
+	StoppedAgain <-chan struct{}
+	// Hangups has a value after SIGHUP. It is buffered, so that one that comes while nobody
+	// receives isn't lost.
+	Hangups <-chan os.Signal
+}
+
+// Notify catches SIGTERM, SIGINT and SIGHUP until the process ends. SIGHUP never has its
+// default action from then on, which is to end the process at once.
+func Notify() Signals {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	stops := make(chan os.Signal, 2)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	stopped, stoppedAgain := make(chan struct{}), make(chan struct{})
 	go func() {
-		<-signals
-		cancel()
-		<-signals
-		close(secondSignal)
+		<-stops
+		close(stopped)
+		<-stops
+		close(stoppedAgain)
 	}()
-	return ctx, secondSignal
+	return Signals{Stopped: stopped, StoppedAgain: stoppedAgain, Hangups: hangups}
 }
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -12,6 +12,7 @@
 	StopForced     Event = 104
 	ListenFailed   Event = 106
 	RequestsEnded  Event = 107
+	HangupIgnored  Event = 108
 )
 
 // The events of an entry.
@@ -102,6 +103,7 @@
 	{StopForced, "stopForced", "A second signal or the drain limit ended the process; the line counts the aborted requests."},
 	{ListenFailed, "listenFailed", "A listener could not be opened or has failed."},
 	{RequestsEnded, "requestsEnded", "A planned stop has ended the requests that were left shortly before the end of the grace period; their callers get a failure."},
+	{HangupIgnored, "hangupIgnored", "SIGHUP has no effect: the process stops, or reads its settings only when it starts."},
 	{QueryAnswered, "queryAnswered", "A query was answered."},
 	{QueryRefused, "queryRefused", "A query was refused or failed."},
 	{OrderEnded, "orderEnded", "An order has ended; the line names its outcome."},
--- a/internal/reloader/reloader.go
+++ b/internal/reloader/reloader.go
@@ -2,10 +2,7 @@
 
 import (
 	"bytes"
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 )
 
@@ -13,29 +10,35 @@
 // change to take effect within seconds.
 const pollInterval = 2 * time.Second
 
+// Config describes the file to watch.
+type Config struct {
+	// File is the path of the file, Content its last known content.
+	File    string
+	Content []byte
+	// Hangups has a value after SIGHUP.
+	Hangups <-chan os.Signal
+	// Changed is called with the new content, or with the error if the file can't be read.
+	Changed func(data []byte, err error)
+}
+
 // Watch reads the file when its modification time has changed, and immediately upon
-// SIGHUP, until the context ends. It calls changed with the new content if that is not
-// empty and differs from the last known content, initially the parameter content, or with
-// the error if the file can't be read.
-func Watch(ctx context.Context, file string, content []byte, changed func(data []byte, err error)) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+// SIGHUP, until stopped is closed. It reports the content if that is not empty and differs
+// from the last known one.
+func Watch(stopped <-chan struct{}, cfg Config) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
-	w := &watcher{file: file, changed: changed, modTime: modificationTime(file)}
-	w.data = content
+	w := &watcher{file: cfg.File, changed: cfg.Changed, data: cfg.Content, modTime: modificationTime(cfg.File)}
 	for {
 		select {
-		case <-hangups:
-			w.reload()
+		case <-cfg.Hangups:
+			w.reload(stopped)
 		case <-ticker.C:
-			modTime := modificationTime(file)
+			modTime := modificationTime(cfg.File)
 			if !modTime.Equal(w.modTime) {
 				w.modTime = modTime
-				w.reload()
+				w.reload(stopped)
 			}
-		case <-ctx.Done():
+		case <-stopped:
 			return
 		}
 	}
@@ -48,7 +51,14 @@
 	modTime time.Time
 }
 
-func (w *watcher) reload() {
+// reload reports the content of the file if it has changed, but not once stopped is closed: a
+// signal to stop takes precedence over one that arrived with it.
+func (w *watcher) reload(stopped <-chan struct{}) {
+	select {
+	case <-stopped:
+		return
+	default:
+	}
 	data, err := os.ReadFile(w.file)
 	if err == nil && len(data) == 0 {
 		// The file has been truncated and is being written.
--- a/internal/reloader/reloader_test.go
+++ b/internal/reloader/reloader_test.go
@@ -1,8 +1,8 @@
 package reloader
 
 import (
-	"context"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"syscall"
 	"testing"
@@ -20,16 +20,19 @@
 	is := is.New(t)
 	file := filepath.Join(t.TempDir(), "settings")
 	is.NoErr(os.WriteFile(file, []byte("one"), 0o600))
-	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	contents := make(chan string, 8)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		Watch(ctx, file, []byte("one"), func(data []byte, err error) {
+		Watch(stopped, Config{File: file, Content: []byte("one"), Hangups: hangups, Changed: func(data []byte, err error) {
 			if err == nil {
 				contents <- string(data)
 			}
-		})
+		}})
 	}()
 	next := func() string {
 		select {
@@ -48,6 +51,23 @@
 	is.NoErr(os.WriteFile(file, []byte("three"), 0o600))
 	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
 	is.Equal(next(), "three") // the rewrite with the same content is not reported
-	cancel()
+	close(stopped)
 	<-done
 }
+
+// TestAStopPrecedesASIGHUPThatCameWithIt guards against settings that a process adopts although it
+// has been told to stop: both are pending, and Watch may see either first.
+func TestAStopPrecedesASIGHUPThatCameWithIt(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "settings")
+	is.NoErr(os.WriteFile(file, []byte("two"), 0o600))
+	stopped := make(chan struct{})
+	close(stopped)
+	for range 100 {
+		hangups := make(chan os.Signal, 1)
+		hangups <- syscall.SIGHUP
+		Watch(stopped, Config{File: file, Content: []byte("one"), Hangups: hangups, Changed: func([]byte, error) {
+			t.Fatal("settings were adopted after the stop")
+		}})
+	}
+}
