pkg/coordination/scatterer: one rule decides whether a sub-request may run again

Cause: handleFailure called ranWell before it had settled the sub-request that had just ended, so that release took it for one that had been held back, and resend compared its runs with the attempts of the route only. retry, hedge, mayRescue, mayResend and resend each had a condition of their own. A query's sub-request without another server was also marked as done twice there.

mayRunAgain now decides for all five: an attempt counts as a run until its end shows that it has not run, and a route that is not idempotent allows one. The failed sub-request is settled first. The terms of relays keep their attempts, as the peer applies the same rule.

--- a/pkg/coordination/scatterer/relays.go
+++ b/pkg/coordination/scatterer/relays.go
@@ -134,8 +134,13 @@
 // sendRelay sends sub-requests through a peer. A repeat has been counted for the budgets of
 // extra attempts.
 func (m *Machine) sendRelay(now time.Time, r *request, subRequests []int, repeat bool) {
+	most := r.maxRuns()
+	if !r.route.Idempotent {
+		// The peer keeps to one run by the kind of the route.
+		most = r.maxAttempts
+	}
 	send := &SendRelay{
-		Request: r.id, SubRequests: subRequests, Whole: len(subRequests) == len(r.subRequests), MaxAttempts: r.maxRuns(),
+		Request: r.id, SubRequests: subRequests, Whole: len(subRequests) == len(r.subRequests), MaxAttempts: most,
 		Repeat: repeat, Deadline: r.deadline,
 	}
 	others := r.answeredCount
@@ -149,7 +154,7 @@
 		if len(sub.outstanding) > 0 {
 			others--
 		}
-		send.MaxAttempts = min(send.MaxAttempts, r.maxRuns()-sub.possibleRuns)
+		send.MaxAttempts = min(send.MaxAttempts, most-sub.possibleRuns)
 		sub.awaitsRelay = false
 		send.Attempts = append(send.Attempts, m.addAttempt(now, r, i, nil).id)
 	}
@@ -219,7 +224,7 @@
 // mayRescue reports whether a sub-request that waits for unreachable servers may run once
 // more.
 func (m *Machine) mayRescue(r *request, sub *subRequest) bool {
-	if !r.route.Idempotent || sub.possibleRuns >= r.maxRuns() || len(sub.outstanding) == 0 {
+	if !r.mayRunAgain(sub) || len(sub.outstanding) == 0 {
 		return false
 	}
 	for _, a := range sub.outstanding {
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -405,12 +405,18 @@
 
 // maxRuns returns how many servers may run each sub-request.
 func (r *request) maxRuns() int {
-	if r.unconfirmed {
+	if r.unconfirmed || !r.route.Idempotent {
 		return min(1, r.maxAttempts)
 	}
 	return r.maxAttempts
 }
 
+// mayRunAgain reports whether one more server may run a sub-request. An attempt counts as a run
+// until its end shows that it has not run. Whatever sends a sub-request again has to ask this.
+func (r *request) mayRunAgain(sub *subRequest) bool {
+	return sub.possibleRuns < r.maxRuns()
+}
+
 // needed returns how many sub-requests must be answered.
 func (r *request) needed() int {
 	return int(math.Ceil(r.coverage*float64(len(r.subRequests)) - coverageTolerance))
@@ -701,22 +707,22 @@
 	sub.code = e.Code
 	if e.FinalResponse {
 		sub.answer = a.id
-		m.ranWell(now, r)
 	}
-	if len(sub.outstanding) > 0 || m.hold(r, e) {
-		return
+	if len(sub.outstanding) == 0 && !m.hold(r, e) {
+		code := m.retry(now, r, a.subRequest, e)
+		if code != classifier.OK {
+			m.markDone(r, sub, code)
+		}
 	}
-	code := m.retry(now, r, a.subRequest, e)
-	if code != classifier.OK {
-		m.markDone(r, sub, code)
+	if e.FinalResponse {
+		m.ranWell(now, r)
 	}
 }
 
 // retry sends a sub-request to another server, or returns the result code if it can't.
 func (m *Machine) retry(now time.Time, r *request, i int, e *AttemptEnded) classifier.Code {
 	sub := &r.subRequests[i]
-	mayRetry := m.cfg.Retries && (r.route.Idempotent || e.Code.NotRun())
-	if !mayRetry || sub.possibleRuns >= r.maxRuns() || !now.Before(r.deadline) {
+	if !m.cfg.Retries || !r.mayRunAgain(sub) || !now.Before(r.deadline) {
 		return e.Code
 	}
 	choice, ok := m.preferNonSuspect(now, r, sub, m.withTokens(now, sub.service, extraReserve))
@@ -809,13 +815,13 @@
 	m.hedge(now, r)
 }
 
-// hedge sends a hedge for each sub-request of an idempotent request that has exactly one
-// outstanding attempt, unless that attempt is part of a slice, and as far as the budget and
+// hedge sends a hedge for each sub-request that may run again and has exactly one outstanding
+// attempt, unless that attempt is part of a slice, and as far as the budget and
 // the attempts of the route allow. The hedge's server must not be OverloadProne and must be
 // expected to answer before earlyAnswerAt or, once that has passed, before the deadline:
 // under overload, other hedges would only lengthen the queues.
 func (m *Machine) hedge(now time.Time, r *request) {
-	if !r.route.Idempotent || m.cfg.HedgeFraction <= 0 {
+	if m.cfg.HedgeFraction <= 0 {
 		return
 	}
 	limit := r.earlyAnswerAt
@@ -824,7 +830,7 @@
 	}
 	for i := range r.subRequests {
 		sub := &r.subRequests[i]
-		if sub.done || len(sub.outstanding) != 1 || sub.outstanding[0].server == nil || sub.possibleRuns >= r.maxRuns() {
+		if sub.done || len(sub.outstanding) != 1 || sub.outstanding[0].server == nil || !r.mayRunAgain(sub) {
 			continue
 		}
 		choice, ok := m.preferNonSuspect(now, r, sub, m.withTokens(now, sub.service, extraReserve))
--- a/pkg/coordination/scatterer/vetting.go
+++ b/pkg/coordination/scatterer/vetting.go
@@ -190,7 +190,7 @@
 // mayResend reports whether a sub-request without an answer or an outstanding attempt can be
 // sent to a server.
 func (m *Machine) mayResend(now time.Time, r *request, sub *subRequest) bool {
-	if sub.done || len(sub.outstanding) > 0 || sub.possibleRuns >= r.maxRuns() {
+	if sub.done || len(sub.outstanding) > 0 || !r.mayRunAgain(sub) {
 		return false
 	}
 	choice, ok := m.placer.Choose(now, m.directory.Servers(sub.service), sub.sentTo, time.Duration(r.stats.typicalLatency))
@@ -210,7 +210,7 @@
 	}
 	choice, ok := m.preferNonSuspect(now, r, sub, m.withTokens(now, sub.service, 0))
 	switch {
-	case sub.possibleRuns >= r.maxRuns() || !now.Before(r.deadline):
+	case !r.mayRunAgain(sub) || !now.Before(r.deadline):
 		m.markDone(r, sub, sub.code)
 	case !ok || choice.Unavailable:
 		if !m.awaitRelay(now, r, sub, sub.code) {
