pkg/coordination/watcher: hosts turn to the store within the bound of the deployment

Cause: maxPeerAge was a constant of 3.5 s, looked at every 200 ms. It had to be that long: content of a healthy peer is up to 2.2 s old, and is compared every 500 ms; a stalled peer also held up the comparison with the other one for 400 ms. The age was that of the configuration alone, without the servers, whose watch began 0.3 s after a change.

A comparison falls on the time at which a peer has renewed its content, and comparisons run side by side, so that content that is overdue by 0.1 s means that both peers have stalled. Then two successors follow the store, the other hosts compare with these, and at 0.3 s before the bound each host follows the store itself. The age counts the servers too. Bounds below 1 s are refused with their place.

--- a/cmd/rhubarbpost/cmds/host.go
+++ b/cmd/rhubarbpost/cmds/host.go
@@ -6,6 +6,7 @@
 	stdlog "log"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"github.com/integrii/flaggy"
 	"github.com/rhubarbpost/rhubarbpost/internal/exiter"
@@ -33,15 +34,19 @@
 	sub.AdditionalHelpAppend = "\nExample: rhubarbpost host --settings host.jsonc"
 	file := os.Getenv(settingsPathVariable)
 	sub.String(&file, "s", "settings", "Settings file, JSON with comments (default: the path in "+settingsPathVariable+")")
+	var configApply, drain time.Duration
+	sub.Duration(&configApply, "", "configApply", "Time within which an accepted configuration has to be in force (default: from the settings, else "+forwarder.DefaultBound.String()+")")
+	sub.Duration(&drain, "", "drain", "Time within which a draining backend server gets no more requests (default: likewise)")
 	t.attach(nil, sub, func() error {
 		if file == "" {
 			return &exitError{code: exiter.Usage, cause: errors.New("--settings is required")}
 		}
-		return t.runHost(file)
+		return t.runHost(file, configApply, drain)
 	})
 }
 
-func (t *commandTree) runHost(file string) error {
+// runHost serves with the settings of a file; bounds that are not 0 go before those of the file.
+func (t *commandTree) runHost(file string, configApply, drain time.Duration) error {
 	signals := exiter.Notify()
 	content, err := os.ReadFile(file)
 	if err != nil {
@@ -51,6 +56,10 @@
 	if err != nil {
 		return &exitError{code: exiter.Invalid, cause: err}
 	}
+	settings, err = settings.WithBounds(configApply, drain)
+	if err != nil {
+		return &exitError{code: exiter.Invalid, cause: err}
+	}
 	debug.SetGCPercent(gcPercent)
 	limiter := logger.NewLimiter(t.stdout, settings.Log.BytesPerSecond)
 	defer limiter.Close()
--- a/internal/forwarder/follower.go
+++ b/internal/forwarder/follower.go
@@ -26,7 +26,12 @@
 // follow runs a watcher of one prefix until ctx is done. While peers follow the store
 // on behalf of this host, the watcher is suspended.
 func (f *Forwarder) follow(ctx context.Context, prefix string) {
-	m := watcher.New(watcher.DefaultConfig())
+	cfg := watcher.DefaultConfig()
+	if prefix == f.cfg.Layout.ConfigPrefix {
+		// A configuration changes seldom, and hosts that depend on this one wait for it.
+		cfg.WatchDelay = 0
+	}
+	m := watcher.New(cfg)
 	var next watcher.Event = &watcher.TimerFired{}
 	for ctx.Err() == nil {
 		if f.awaitsSeeds() {
@@ -34,14 +39,14 @@
 			continue
 		}
 		if !f.followsStore() {
-			sleeper.Sleep(ctx, followCheckInterval)
+			sleeper.Sleep(ctx, f.followCheckDelay())
 			continue
 		}
 		for _, action := range m.Step(time.Now(), next) {
 			switch a := action.(type) {
 			case *watcher.List:
 				next = f.readStore(ctx, "list", func(ctx context.Context) (storer.Page, watcher.Event, error) {
-					page, err := f.storeView(prefix, !a.First).List(ctx, prefix)
+					page, err := f.storeView(prefix, !a.First || f.contentOverdue()).List(ctx, prefix)
 					return page, &watcher.Listed{Page: page, Err: err}, err
 				})
 			case *watcher.Watch:
@@ -70,6 +75,14 @@
 	}
 }
 
+// followCheckDelay returns the time until this host checks again whether peers still follow the
+// store on its behalf.
+func (f *Forwarder) followCheckDelay() time.Duration {
+	f.sourceMu.Lock()
+	defer f.sourceMu.Unlock()
+	return min(f.source.UntilFollowing(time.Now()), followCheckInterval)
+}
+
 // logUnreadable logs the objects of a page that can't be read; the others are used.
 func (f *Forwarder) logUnreadable(page storer.Page) {
 	for _, rejected := range page.Rejected {
@@ -104,8 +117,8 @@
 // the operator's write. Other prefixes may be read from a lagging copy, as a draining
 // backend server goes on serving for about as long as a copy lags. Such a prefix is
 // read from the newest copy only if linearizable is set: for a list that must show
-// changes that this host missed, in an outage or rewind of the store or because they
-// are no longer in the store's history.
+// changes that this host missed, in an outage or rewind of the store, because its peers
+// have stalled or because they are no longer in the store's history.
 func (f *Forwarder) storeView(prefix string, linearizable bool) storer.Store {
 	store := f.store.Load()
 	if linearizable || prefix == f.cfg.Layout.ConfigPrefix {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -121,7 +121,7 @@
 	b := &bodyReader{}
 	f := &Forwarder{
 		cfg: cfg, metrics: newCounters(), client: newClient(cfg.Dialect, b, cfg.Settings.Translate), bodies: b,
-		objects: cacher.New(), eras: newEras(), source: watcher.NewSource(maxPeerAge),
+		objects: cacher.New(), eras: newEras(), source: watcher.NewSource(cfg.Settings.sourceConfig()),
 	}
 	f.delegate, f.tokens = newDelegate(cfg), newTokenBroker()
 	f.settings.Store(&cfg.Settings)
@@ -202,11 +202,11 @@
 }
 
 // Reload puts changed settings in force without interrupting requests. Name,
-// failure domain, capacity, link, listeners and log keep their values until a restart.
+// failure domain, capacity, link, bounds, listeners and log keep their values until a restart.
 func (f *Forwarder) Reload(next Settings) {
 	held := f.Settings()
 	next.Name, next.Domain, next.Listen, next.Log = held.Name, held.Domain, held.Listen, held.Log
-	next.Capacity, next.Link = held.Capacity, held.Link
+	next.Capacity, next.Link, next.Bounds = held.Capacity, held.Link, held.Bounds
 	f.settings.Store(&next)
 	f.engine.push(policyChange{next.scatterer()})
 	old := f.store.Load()
@@ -246,6 +246,12 @@
 	return time.Unix(0, f.configConfirmed.Load())
 }
 
+// allConfirmedAt returns the time up to which the store has confirmed the configuration and the
+// backend servers; it is not after the Unix epoch if either was never confirmed.
+func (f *Forwarder) allConfirmedAt() time.Time {
+	return time.Unix(0, min(f.configConfirmed.Load(), f.serversConfirmed.Load()))
+}
+
 // Close stops everything immediately and waits until it has ended. Further calls
 // do nothing.
 func (f *Forwarder) Close() {
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -22,6 +22,7 @@
 	"github.com/rhubarbpost/rhubarbpost/internal/sleeper"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/connector"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/delegator"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/watcher"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/storer"
 )
 
@@ -30,10 +31,6 @@
 	// Several comparisons fit into the time within which a configuration has to be
 	// in force.
 	compareInterval = 500 * time.Millisecond
-	// maxPeerAge is the age of objects from peers, counted from their last
-	// confirmation by the store, beyond which this host follows the store itself. It
-	// allows for the longest call of a watch plus one round of comparisons.
-	maxPeerAge = 3500 * time.Millisecond
 	// startupCompareInterval is how often a host that has just started compares its
 	// objects with a seed, which may have started at the same time. The interval is
 	// not shorter because a seed of hundreds of hosts already gets hundreds of calls
@@ -56,6 +53,9 @@
 	// probedHostsPerDomain is how many hosts of each other failure domain are
 	// probed, as one of them may be down.
 	probedHostsPerDomain = 2
+	// peerAnswerTime is the time in which a peer that has not stalled mostly answers a
+	// comparison; the next one is scheduled after it.
+	peerAnswerTime = 50 * time.Millisecond
 	// compareTimeout limits one comparison. It leaves time for a comparison with
 	// another peer before a configuration has to be in force.
 	compareTimeout = 400 * time.Millisecond
@@ -77,7 +77,7 @@
 		return nil, err
 	}
 	response := connect.NewResponse(answer)
-	at := c.f.confirmedAt()
+	at := c.f.allConfirmedAt()
 	if c.f.lostPrefixes.Load() == 0 && at.Unix() > 0 {
 		comparer.SetAge(response.Header(), time.Since(at))
 	}
@@ -97,21 +97,84 @@
 	if !f.Settings().FirstStart {
 		f.compareWithSeeds(ctx, client)
 	}
+	// A peer that has stalled doesn't delay the comparisons with others.
+	var comparisons sync.WaitGroup
+	defer comparisons.Wait()
+	var busy sync.Map
 	// Round robin from a random start, so that each peer gets its turn.
 	for turn := rand.IntN(math.MaxInt16); ctx.Err() == nil; turn++ {
-		peers := f.storeFollowers()
-		if len(peers) == 0 && f.lostPrefixes.Load() > 0 {
-			peers = f.peers()
+		peers, overdue := f.sources()
+		peers = slices.DeleteFunc(peers, func(address string) bool {
+			_, comparing := busy.Load(address)
+			return comparing
+		})
+		if !overdue && len(peers) > 0 {
+			peers = peers[turn%len(peers):][:1]
 		}
-		if len(peers) > 0 {
-			f.compareWith(ctx, client, peers[turn%len(peers)])
+		var round sync.WaitGroup
+		for _, peer := range peers {
+			busy.Store(peer, true)
+			round.Add(1)
+			comparisons.Go(func() {
+				defer round.Done()
+				defer busy.Delete(peer)
+				f.compareWith(ctx, client, peer)
+			})
 		}
-		interval := compareInterval
-		if f.awaitsSeeds() {
-			interval = startupCompareInterval
+		waitAtMost(&round, peerAnswerTime)
+		sleeper.Sleep(ctx, f.compareDelay())
+	}
+}
+
+// waitAtMost waits for a group, but not longer than a time.
+func waitAtMost(group *sync.WaitGroup, limit time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(limit):
+	}
+}
+
+// sources returns the control addresses of the hosts to compare with: those that follow the store
+// on behalf of this one, or, if there are none and the store is unreachable, all peers. If their
+// content is overdue, all are to be asked at once, and their successors too.
+func (f *Forwarder) sources() (peers []string, overdue bool) {
+	peers = f.storeFollowers()
+	switch {
+	case len(peers) == 0 && f.lostPrefixes.Load() > 0:
+		return f.peers(), false
+	case len(peers) > 0 && f.contentOverdue():
+		overdue = true
+		s := f.Settings()
+		for _, host := range delegator.StoreSuccessors(s.Domain, f.delegate.listedHosts()) {
+			if host.Name != s.Name {
+				peers = append(peers, host.Address)
+			}
 		}
-		sleeper.Sleep(ctx, interval)
 	}
+	return peers, overdue
+}
+
+// contentOverdue reports whether the hosts that follow the store for this one have stalled.
+func (f *Forwarder) contentOverdue() bool {
+	f.sourceMu.Lock()
+	defer f.sourceMu.Unlock()
+	return f.source.Overdue(time.Now())
+}
+
+// compareDelay returns the time until the next comparison with a peer.
+func (f *Forwarder) compareDelay() time.Duration {
+	f.sourceMu.Lock()
+	defer f.sourceMu.Unlock()
+	now := time.Now()
+	if f.source.Waiting(now) {
+		return startupCompareInterval
+	}
+	return f.source.CompareDelay(now)
 }
 
 // compareWithSeeds compares objects with the seeds, starting with a random one,
@@ -225,23 +288,31 @@
 // storeFollowers returns the control addresses of the hosts that follow the store
 // on behalf of this one, or none if it follows the store itself. If this host isn't
 // listed yet, it has just started and uses its seeds too. storeFollowers also
-// records in f.source whether there are any such hosts.
+// records in f.source which role that gives this host.
 func (f *Forwarder) storeFollowers() []string {
 	s := f.Settings()
 	var addresses []string
 	hosts := f.delegate.listedHosts()
-	if !slices.ContainsFunc(hosts, func(h delegator.Host) bool { return h.Name == s.Name }) {
+	isSelf := func(h delegator.Host) bool { return h.Name == s.Name }
+	if !slices.ContainsFunc(hosts, isSelf) {
 		addresses = f.otherSeeds()
 	}
 	for _, host := range delegator.StoreFollowers(s.Domain, hosts) {
-		if host.Name == s.Name {
+		if isSelf(host) {
 			addresses = nil
 			break
 		}
 		addresses = append(addresses, host.Address)
 	}
+	role := watcher.Dependent
+	switch {
+	case len(addresses) == 0 || !f.cfg.Settings.sourceConfig().AllowsPeers():
+		role, addresses = watcher.Direct, nil
+	case slices.ContainsFunc(delegator.StoreSuccessors(s.Domain, hosts), isSelf):
+		role = watcher.Successor
+	}
 	f.sourceMu.Lock()
-	f.source.SetHasPeers(len(addresses) > 0)
+	f.source.SetRole(role)
 	f.sourceMu.Unlock()
 	return addresses
 }
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/netip"
 	"strconv"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/watcher"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/decoder"
 )
 
@@ -40,8 +42,6 @@
 	// WatchWait is how long a watch may wait for changes. Together with
 	// StoreCallTimeout it bounds how long a dead connection goes unnoticed. The sum
 	// of both is well within the 4 s after which a host must be up to date again.
-	// The sum and one round of comparisons between hosts are within maxPeerAge,
-	// beyond which hosts follow the store themselves.
 	WatchWait = 2200 * time.Millisecond
 )
 
@@ -69,11 +69,71 @@
 	// Policy holds the parameters of routing decisions that differ from their
 	// defaults.
 	Policy Policy `json:"policy"`
+	// Bounds are the times within which changes have to be in force.
+	Bounds Bounds `json:"bounds"`
 	// Grace is the time from SIGTERM until the platform kills the process.
 	Grace decoder.Duration `json:"grace"`
 	Log   Log              `json:"log"`
 }
 
+// Bounds are the times within which a change has to be in force on all hosts after the store has
+// acknowledged it, DefaultBound if they are 0.
+type Bounds struct {
+	// ConfigApply is that of a configuration, Drain that of a backend server that drains.
+	ConfigApply decoder.Duration `json:"configApply"`
+	Drain       decoder.Duration `json:"drain"`
+}
+
+const (
+	// DefaultBound is that of the platform's smallest sites.
+	DefaultBound = 3 * time.Second
+	// minBound leaves time for one call to the store.
+	minBound = time.Second
+)
+
+// least returns the shorter of the bounds.
+func (b Bounds) least() time.Duration {
+	least := time.Duration(0)
+	for _, bound := range []time.Duration{b.ConfigApply.Value(), b.Drain.Value()} {
+		if bound == 0 {
+			bound = DefaultBound
+		}
+		if least == 0 || bound < least {
+			least = bound
+		}
+	}
+	return least
+}
+
+// check records bounds that can't be kept.
+func (b Bounds) check(c *settingsChecker) {
+	c.requireBound(b.ConfigApply, "configApply")
+	c.requireBound(b.Drain, "drain")
+}
+
+func (c *settingsChecker) requireBound(bound decoder.Duration, field string) {
+	c.require(bound.Value() == 0 || bound.Value() >= minBound, "a bound of "+bound.Value().String()+" can't be kept",
+		fmt.Sprintf("%v or more, 0s for %v", minBound, DefaultBound), "bounds", field)
+}
+
+// WithBounds returns the settings with bounds in place of those that are not 0.
+func (s Settings) WithBounds(configApply, drain time.Duration) (Settings, error) {
+	if configApply != 0 {
+		s.Bounds.ConfigApply = decoder.NewDuration(configApply)
+	}
+	if drain != 0 {
+		s.Bounds.Drain = decoder.NewDuration(drain)
+	}
+	c := &settingsChecker{file: "flags"}
+	s.Bounds.check(c)
+	return s, errors.Join(c.problems...)
+}
+
+// sourceConfig returns the times that follow from the bounds.
+func (s Settings) sourceConfig() watcher.SourceConfig {
+	return watcher.SourceConfig{Bound: s.Bounds.least(), WatchWait: WatchWait, CompareInterval: compareInterval}
+}
+
 // Listen holds the addresses of a host, each an IP address with a port.
 type Listen struct {
 	Callers   string `json:"callers"`
@@ -140,6 +200,7 @@
 	c.require(s.Extra.Window.Value() > 0, "not a positive duration", `a duration such as "10s"`, "extra", "window")
 	c.require(s.Grace.Value() > 0, "not a positive duration", `a duration such as "6s"`, "grace")
 	c.require(s.Log.BytesPerSecond > 0, "not positive", "1 or more", "log", "bytesPerSecond")
+	s.Bounds.check(c)
 	s.Policy.check(c)
 	err := s.Log.Check()
 	if err != nil {
--- a/pkg/coordination/delegator/delegator.go
+++ b/pkg/coordination/delegator/delegator.go
@@ -248,6 +248,13 @@
 	return inDomain[:storeFollowersPerDomain]
 }
 
+// StoreSuccessors returns the hosts of a failure domain that follow the store as the first ones if
+// those of StoreFollowers have stalled.
+func StoreSuccessors(domain string, hosts []Host) []Host {
+	inDomain := byRate(domain, hosts)
+	return inDomain[min(storeFollowersPerDomain, len(inDomain)):min(2*storeFollowersPerDomain, len(inDomain))]
+}
+
 // byRate returns the hosts of a failure domain by decreasing sub-request rate.
 func byRate(domain string, hosts []Host) []Host {
 	var inDomain []Host
--- a/pkg/coordination/watcher/source_test.go
+++ b/pkg/coordination/watcher/source_test.go
@@ -12,9 +12,9 @@
 func TestHostFollowsStoreOnlyIfNoPeerDoes(t *testing.T) {
 	is := is.New(t)
 	const limit = 2 * time.Second
-	s := NewSource(limit)
+	s := NewSource(SourceConfig{Bound: limit + turnReserve, WatchWait: time.Second, CompareInterval: time.Second})
 	is.True(s.FollowsStore(start))
-	s.SetHasPeers(true)
+	s.SetRole(Dependent)
 	is.True(s.FollowsStore(start)) // no content from a peer yet
 	s.ReceivedFromPeer(start, 500*time.Millisecond)
 	is.True(!s.FollowsStore(start.Add(1500 * time.Millisecond)))
@@ -25,7 +25,7 @@
 	is.True(s.FollowsStore(start.Add(3601 * time.Millisecond))) // no peer answers
 	s.ReceivedFromPeer(start.Add(4*time.Second), 0)
 	is.Equal(s.RetryDelay(time.Second), peerRetryFactor*time.Second)
-	s.SetHasPeers(false)
+	s.SetRole(Direct)
 	is.True(s.FollowsStore(start.Add(4 * time.Second)))
 	is.Equal(s.RetryDelay(time.Second), time.Second)
 }
@@ -34,9 +34,9 @@
 // the time limit or until one of them has sent its content.
 func TestStartingHostWaitsForItsSeeds(t *testing.T) {
 	is := is.New(t)
-	s := NewSource(2 * time.Second)
+	s := NewSource(SourceConfig{Bound: 2*time.Second + turnReserve, WatchWait: time.Second, CompareInterval: time.Second})
 	s.WaitUntil(start.Add(time.Second))
-	s.SetHasPeers(true)
+	s.SetRole(Dependent)
 	is.True(!s.FollowsStore(start))
 	is.True(s.Waiting(start))
 	is.True(s.FollowsStore(start.Add(time.Second))) // no seed answers
@@ -44,7 +44,7 @@
 	s.ReceivedFromPeer(start.Add(500*time.Millisecond), 0)
 	is.True(!s.Waiting(start.Add(500 * time.Millisecond)))
 	is.True(!s.FollowsStore(start.Add(time.Second)))
-	s.SetHasPeers(false) // the host is registered now and follows the store for others
+	s.SetRole(Direct) // the host is registered now and follows the store for others
 	is.True(s.FollowsStore(start.Add(500 * time.Millisecond)))
 }
 
@@ -53,7 +53,7 @@
 // store: the wait ends once each of them has been ruled out.
 func TestStartingHostDoesNotWaitForSeedsWithoutContent(t *testing.T) {
 	is := is.New(t)
-	s := NewSource(2 * time.Second)
+	s := NewSource(SourceConfig{Bound: 2*time.Second + turnReserve, WatchWait: time.Second, CompareInterval: time.Second})
 	s.WaitForPeers(start.Add(time.Second), []string{"a", "b"})
 	s.RuleOutPeer("a")
 	s.RuleOutPeer("a")
--- a/pkg/coordination/watcher/watcher.go
+++ b/pkg/coordination/watcher/watcher.go
@@ -19,10 +19,13 @@
 	WatchDelay time.Duration
 }
 
+// DefaultWatchDelay is the default of Config.WatchDelay.
+const DefaultWatchDelay = 300 * time.Millisecond
+
 // DefaultConfig returns delays that detect the recovery of the store well within
 // the time in which a change must take effect.
 func DefaultConfig() Config {
-	return Config{RetryMin: 100 * time.Millisecond, RetryMax: 800 * time.Millisecond, WatchDelay: 300 * time.Millisecond}
+	return Config{RetryMin: 100 * time.Millisecond, RetryMax: 800 * time.Millisecond, WatchDelay: DefaultWatchDelay}
 }
 
 // Event is an input of the machine.
