internal/forwarder: evidence against requests is kept in the store

Cause: the records lay in the memory of the hosts alone, which tell each other but all end at once.

Each host now keeps an object of its own in the store with what it has seen itself, from the first end on, since no life of the hosts may see three. vetter.Archive decides when it is written: beside the requests, after an end or a decision, at most each 250 ms, 256 records and 256 KB at most; never for a request without an ended server. A conflict is merged, a rewind written anew. A host that starts knows all of it before it serves, from the store or a partner, or serves after 0.4 s without.

TestBlockedRequestStaysBlockedAfterTheEndOfAllHosts failed before with one and with four arrivals a life (more than three servers crashed) and passes; seven tests of the archive on virtual time.

--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -193,6 +193,13 @@
 	// sending counts the calls that run.
 	sendRecords func(ctx context.Context, records []vetter.Record)
 	sending     int
+	// archive decides when this host's evidence is written to the store by writeEvidence;
+	// evidenceKnown is true once the evidence of all hosts has been read, servesRequests once
+	// requests may be served.
+	archive        *vetter.Archive
+	writeEvidence  func(ctx context.Context, saved []vetter.SavedRecord) error
+	evidenceKnown  atomic.Bool
+	servesRequests atomic.Bool
 	// blocked has the requests that handlers refuse, nil without any.
 	blocked atomic.Pointer[blockedRequests]
 	// checkStore reads from the store until a read succeeds. It pushes a storeState
@@ -224,7 +231,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &engine{
 		log: cfg.Logger, domain: cfg.Settings.Domain, metrics: metrics, client: c, checkStore: checkStore, probeOtherDomains: probeOtherDomains,
-		delegateSlice: f.delegateSlice, relay: f.relay, askHosts: f.askForTokens, sendRecords: f.sendRecords,
+		delegateSlice: f.delegateSlice, relay: f.relay, askHosts: f.askForTokens, sendRecords: f.sendRecords, writeEvidence: f.writeEvidence,
+		archive:     vetter.NewArchive(time.Now()),
 		queue:       queuer.New[event](eventQueueCapacity),
 		machine:     scatterer.New(cfg.Settings.scatterer(), servers),
 		servers:     servers,
@@ -237,6 +245,9 @@
 		cancel:      cancel,
 		done:        make(chan struct{}),
 	}
+	if !cfg.Settings.scatterer().Vetting {
+		e.knowEvidence()
+	}
 	go e.run()
 	return e
 }
@@ -284,6 +295,7 @@
 			return
 		}
 		e.spreadRecords(time.Now())
+		e.saveEvidence(time.Now())
 	}
 }
 
@@ -328,6 +340,8 @@
 		e.stepReach(now, item)
 	case vetterCall, recordsSent:
 		e.stepVetting(now, item)
+	case evidenceWritten, evidenceLost:
+		e.stepEvidence(now, item)
 	case policyChange:
 		e.machine.Reconfigure(item.cfg)
 	case requestsEnd:
--- a/internal/forwarder/follower.go
+++ b/internal/forwarder/follower.go
@@ -109,6 +109,7 @@
 	if f.eras.observe(era) {
 		f.metrics.rewinds.Inc()
 		f.cfg.Logger.Warn(logger.StoreRewound, "era", era)
+		f.engine.push(evidenceLost{})
 	}
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -103,6 +103,8 @@
 	// configConfirmed and serversConfirmed are when the store last confirmed that
 	// the configuration and the list of backend servers are current, in Unix
 	// nanoseconds.
+	// evidenceVersion is that of the evidence which this host has in the store.
+	evidenceVersion  atomic.Uint64
 	configConfirmed  atomic.Int64
 	serversConfirmed atomic.Int64
 	// lastRequest is the ID given to the last request.
@@ -150,6 +152,7 @@
 	f.workers.Go(func() { f.compareWithPeers(ctx) })
 	f.workers.Go(func() { f.registerAndList(ctx) })
 	f.workers.Go(func() { f.compareRecords(ctx) })
+	f.workers.Go(func() { f.loadEvidence(ctx) })
 	return f, nil
 }
 
@@ -219,12 +222,12 @@
 		"extraRatio", next.Extra.Ratio, "extraBurst", next.Extra.Burst, "extraWindow", next.Extra.Window, "grace", next.Grace)
 }
 
-// Ready reports whether the host can serve: it has a configuration and a list of
-// backend servers, is not stopping and not partitioned.
+// Ready reports whether the host can serve: it has a configuration, a list of
+// backend servers and the evidence against requests, is not stopping and not partitioned.
 func (f *Forwarder) Ready() bool {
 	select {
 	case <-f.engine.listed:
-		return f.table.Load() != nil && !f.divertsCallers()
+		return f.table.Load() != nil && f.engine.servesRequests.Load() && !f.divertsCallers()
 	default:
 		return false
 	}
--- a/internal/forwarder/records.go
+++ b/internal/forwarder/records.go
@@ -43,6 +43,8 @@
 
 // recordsAnswer is the answer to a recordsMessage.
 type recordsAnswer struct {
+	// Known means that the answering host knows the evidence in the store.
+	Known bool `json:"known,omitempty"`
 	// Equal means that both hosts have the same records.
 	Equal   bool                        `json:"equal"`
 	Records decoder.List[vetter.Record] `json:"records,omitzero"`
@@ -77,6 +79,7 @@
 	}
 	answer, err := callVetter(r.Context(), f.engine, func(now time.Time, v *vetter.Vetter) (answer recordsAnswer) {
 		f.mergeRecords(now, v, r.RemoteAddr, message.Records)
+		answer.Known = f.engine.archive.Known()
 		switch {
 		case message.Digest != nil:
 			answer.Equal = *message.Digest == v.Digest()
@@ -178,13 +181,15 @@
 // compareRecords compares the records of this host with those of its partners until ctx is
 // done, so that a host also learns what it has missed while it was down or partitioned.
 func (f *Forwarder) compareRecords(ctx context.Context) {
-	interval := firstRecordInterval
 	for turn := 0; ctx.Err() == nil; turn++ {
+		interval := firstRecordInterval
 		partners := vetter.Partners(f.self(), f.knownHosts())
 		for i := range partners {
 			err := f.compareRecordsWith(ctx, partners[(turn+i)%len(partners)].Address)
 			if err == nil {
-				interval = recordInterval
+				if f.engine.evidenceKnown.Load() {
+					interval = recordInterval
+				}
 				break
 			}
 		}
@@ -200,9 +205,12 @@
 		return err
 	}
 	answer, err := f.exchangeRecords(ctx, address, recordsMessage{Digest: &digest})
-	if err != nil || answer.Equal {
+	if err != nil {
 		return err
 	}
+	if answer.Equal {
+		return f.learnEvidence(ctx, answer)
+	}
 	summary, err := callVetter(ctx, f.engine, func(_ time.Time, v *vetter.Vetter) vetter.Summary { return v.Summary() })
 	if err != nil {
 		return err
@@ -215,8 +223,27 @@
 		f.mergeRecords(now, v, address, answer.Records)
 		return v.Records(now, answer.Wanted.Elements)
 	})
+	if err != nil {
+		return err
+	}
 	if len(records) > 0 {
 		_, err = f.exchangeRecords(ctx, address, recordsMessage{Records: decoder.NewList(records)})
+		if err != nil {
+			return err
+		}
 	}
+	return f.learnEvidence(ctx, answer)
+}
+
+// learnEvidence records that this host knows the evidence in the store if a partner does, whose records
+// it has merged. A full message leaves some for the next comparison.
+func (f *Forwarder) learnEvidence(ctx context.Context, answer recordsAnswer) error {
+	if !answer.Known || len(answer.Records.Elements) >= vetter.FullMessage || f.engine.evidenceKnown.Load() {
+		return nil
+	}
+	_, err := callVetter(ctx, f.engine, func(time.Time, *vetter.Vetter) struct{} {
+		f.engine.knowEvidence()
+		return struct{}{}
+	})
 	return err
 }
--- a/internal/forwarder/types.go
+++ b/internal/forwarder/types.go
@@ -116,6 +116,9 @@
 	// servers and of this system's hosts.
 	ServerPrefix string
 	HostPrefix   string
+	// EvidencePrefix is the prefix of what each host keeps of the requests under which
+	// servers have ended.
+	EvidencePrefix string
 }
 
 // whole reports whether there is an answer of a peer that served the whole request.
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -86,6 +86,8 @@
 	RecordsRejected      Event = 552
 	RecordsUnsent        Event = 553
 	VerdictDecided       Event = 554
+	EvidenceUnsaved      Event = 555
+	EvidenceUnread       Event = 556
 )
 
 // Definition describes one log event.
@@ -161,6 +163,8 @@
 	{RecordsRejected, "recordsRejected", "Another host has sent a record of a request under which servers have ended that can't be read; the others of the message are used."},
 	{RecordsUnsent, "recordsUnsent", "Another host has not taken changed records; it gets them in a later comparison."},
 	{VerdictDecided, "verdictDecided", "An operator has lifted the verdict on a request, or blocked the request."},
+	{EvidenceUnsaved, "evidenceUnsaved", "The evidence of this host against requests could not be written to the store; it is written again."},
+	{EvidenceUnread, "evidenceUnread", "Evidence against requests could not be read from the store; the rest is used."},
 }
 
 // Catalogue returns the definitions of all log events in ascending order.
--- a/pkg/coordination/vetter/exchange.go
+++ b/pkg/coordination/vetter/exchange.go
@@ -14,6 +14,9 @@
 	pushedSuspects = 32
 )
 
+// FullMessage is the number of records from which on a message may lack some that differ.
+const FullMessage = pushedSuspects
+
 // Summary has the digest of each record of a host by the fingerprint of its request.
 type Summary map[Fingerprint]uint64
 
--- a/pkg/coordination/vetter/vetter.go
+++ b/pkg/coordination/vetter/vetter.go
@@ -121,7 +121,11 @@
 	// dirty has the requests whose records have changed since Changed returned them.
 	dirty map[Fingerprint]bool
 	// verdicts has the verdicts of which a Change has been reported, if not Allowed.
-	verdicts  map[Fingerprint]Verdict
+	verdicts map[Fingerprint]Verdict
+	// own has the requests of which this host has seen an end or a decision, so that it keeps
+	// their records in the store; unsaved means that these have changed.
+	own       map[Fingerprint]bool
+	unsaved   bool
 	changes   []Change
 	exposures []exposure
 	random    *rand.Rand
@@ -131,7 +135,7 @@
 func New(random *rand.Rand) *Vetter {
 	return &Vetter{
 		entries: make(map[Fingerprint]*entry), byEnd: make(map[End]map[Fingerprint]*entry), knownAt: make(map[End]time.Time),
-		dirty: make(map[Fingerprint]bool), verdicts: make(map[Fingerprint]Verdict), random: random,
+		dirty: make(map[Fingerprint]bool), verdicts: make(map[Fingerprint]Verdict), own: make(map[Fingerprint]bool), random: random,
 	}
 }
 
@@ -318,6 +322,7 @@
 		added.Relapses = added.Ends
 	}
 	v.update(now, e, added, now)
+	v.observed(e)
 	if e.blocks(e.left) && e.Decision.Kind != Pinned {
 		v.update(now, e, Record{Held: e.left}, now)
 	}
@@ -343,6 +348,7 @@
 		decided.Cleared = e.Ends
 	}
 	v.update(now, e, decided, now)
+	v.observed(e)
 }
 
 // insert adds an entry; the oldest suspect makes room for it.
@@ -396,6 +402,8 @@
 		e.lastEnd = lastEnd
 	}
 	v.dirty[e.Fingerprint] = true
+	// A single end that is cleared counts for nothing when it is read again.
+	v.unsaved = v.unsaved || (v.own[e.Fingerprint] && (len(e.Ends) >= suspectingEnds || e.Decision.Count > 0))
 	v.judgeGroup(now, e)
 }
 
@@ -480,6 +488,7 @@
 	delete(v.entries, e.Fingerprint)
 	delete(v.dirty, e.Fingerprint)
 	delete(v.verdicts, e.Fingerprint)
+	delete(v.own, e.Fingerprint)
 	if e.blocked {
 		v.blocked--
 	}
