internal/forwarder: the peer of a test of receipts doesn't wait for a connection that never comes

With a time limit of 1 ms a delegated request may be given up before its connection is open, on a busy machine; the test's peer then waited for it without end. Each request gets a listener of its own, which is closed once the exchange has ended. What is checked stays: both sides agree on whether the request runs.

--- a/internal/forwarder/receipt_test.go
+++ b/internal/forwarder/receipt_test.go
@@ -48,14 +48,13 @@
 		spread   = time.Millisecond
 	)
 	is := is.New(t)
-	var sockets net.ListenConfig
-	l, err := sockets.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer func() { _ = l.Close() }()
 	f := &Forwarder{cfg: Config{Dialect: plainDialect{}}, bodies: &bodyReader{}, delegate: newDelegate(Config{})}
 	a := &arrival{outbound: outbound{method: http.MethodGet, url: &url.URL{Path: "/"}, host: "h", header: http.Header{}}, expires: time.Now().Add(time.Minute)}
 	// served sends one request and checks that both sides agree on whether it runs.
 	served := func(limit, delay time.Duration) bool {
+		var sockets net.ListenConfig
+		l, err := sockets.Listen(t.Context(), "tcp", "127.0.0.1:0")
+		is.NoErr(err)
 		var begun bool
 		var peer sync.WaitGroup
 		peer.Go(func() {
@@ -64,8 +63,10 @@
 				begun = confirmAfter(conn, delay)
 			}
 		})
-		_, err := f.exchangeWithGatherer(t.Context(), a, &lister.Server{ID: "peer", Address: l.Addr().String()}, limit, nil)
+		_, err = f.exchangeWithGatherer(t.Context(), a, &lister.Server{ID: "peer", Address: l.Addr().String()}, limit, nil)
 		f.delegate.close()
+		// On a busy machine the request may be given up before its connection is open.
+		_ = l.Close()
 		peer.Wait()
 		is.Equal(begun, err == nil)
 		is.True(err == nil || errors.Is(err, errNoReceipt))
