--- a/internal/forwarder/bodies_test.go
+++ b/internal/forwarder/bodies_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"runtime"
 	"testing"
 	"testing/iotest"
 
@@ -84,3 +85,45 @@
 	}
 	is.Equal(b.reserved.Load(), int64(0))
 }
+
+// TestSlowBodiesOfAllConnectionsStayWithinMemory guards against the memory of a host being used up by bodies that
+// never end, one on each connection that it may have, although each of them is below the size from which on
+// bodies share a budget.
+func TestSlowBodiesOfAllConnectionsStayWithinMemory(t *testing.T) {
+	const (
+		// connections and memoryBytes are those of the smallest hosts; 200 descriptors are for files.
+		connections = 4100 - 200
+		memoryBytes = 284 << 20
+		sentBytes   = unbudgetedBodyBytes - 1
+	)
+	is := is.New(t)
+	b := &bodyReader{}
+	reached, release, read := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	runtime.GC()
+	var before, held runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range connections {
+		go func() {
+			_, _ = b.read(&stalled{left: sentBytes, reached: reached, release: release}, -1, maxBodyBytes)
+			read <- struct{}{}
+		}()
+	}
+	ended := 0
+	for waiting := 0; waiting+ended < connections; {
+		select {
+		case <-reached:
+			waiting++
+		case <-read: // refused
+			ended++
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&held)
+	close(release)
+	for ; ended < connections; ended++ {
+		<-read
+	}
+	bytes := held.HeapAlloc - min(before.HeapAlloc, held.HeapAlloc)
+	t.Logf("%d bodies hold %d MB", connections, bytes>>20)
+	is.True(bytes < memoryBytes/2)
+}
