internal/forwarder: steps of admission for callers with organisations

Cause: keys, quotas and priorities of organisations meet where a request is taken in, and their parts are built side by side. Change: matcher has organisations (not yet decoded), the handler identifies and admits requests by steps that admit all so far; result codes 1323 to 1326. Measured: build, vet and the documentation test; no behaviour changes.

--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -70,6 +70,8 @@
 	outbound    outbound
 	fingerprint vetter.Fingerprint
 	reply       chan reply
+	// organisation is the caller's, nil if the configuration has none or it isn't known.
+	organisation *matcher.Organisation
 	// delegated is true if another host has delegated the request, relay has the terms if it
 	// has sent it on.
 	delegated bool
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -45,10 +45,14 @@
 	if failure == nil {
 		failure = f.limitToStop(a)
 	}
+	if failure == nil {
+		failure = f.admit(r.Context(), a)
+	}
 	if failure != nil {
 		f.refuse(w, a, failure)
 		return
 	}
+	defer f.endTurn(a)
 	if f.delegateQuery(w, r, a) {
 		return
 	}
@@ -104,6 +108,10 @@
 			WithRetryAfter(transientRetryAfter)
 	}
 	a.route, a.version = route, table.Version()
+	failure := f.identify(r, table, a)
+	if failure != nil {
+		return a, failure
+	}
 	body, failure := f.readBody(w, r, table.Limits().BodyBytes, call.Remaining)
 	if failure != nil {
 		return a, failure
--- a/pkg/protocol/classifier/code.go
+++ b/pkg/protocol/classifier/code.go
@@ -53,6 +53,10 @@
 	RequestBlocked     Code = 1320
 	RequestSuspected   Code = 1321
 	RequestCrashed     Code = 1322
+	UnknownKey         Code = 1323
+	QuotaReached       Code = 1324
+	NoRoom             Code = 1325
+	HeadersTooLarge    Code = 1326
 )
 
 // Result codes of orders.
@@ -131,6 +135,10 @@
 	{RequestBlocked, "requestBlocked", http.StatusServiceUnavailable, NotRun, "Servers have ended again and again while they ran this request; it is not sent to others."},
 	{RequestSuspected, "requestSuspected", http.StatusServiceUnavailable, NotRun, "Servers have ended while they ran this request; it runs at one server at a time."},
 	{RequestCrashed, "requestCrashed", http.StatusBadGateway, Unknown, "Servers have ended while they ran this request; it was given up."},
+	{UnknownKey, "unknownKey", http.StatusUnauthorized, NotRun, "No organisation of the configuration in force holds the key of the request."},
+	{QuotaReached, "quotaReached", http.StatusTooManyRequests, NotRun, "The organisation has used its quota."},
+	{NoRoom, "noRoom", http.StatusServiceUnavailable, NotRun, "The host has no room for the request before its deadline."},
+	{HeadersTooLarge, "headersTooLarge", http.StatusRequestHeaderFieldsTooLarge, NotRun, "The headers of the request exceed a limit."},
 	{OrderDone, "orderDone", http.StatusOK, Done, "The order has run."},
 	{OrderRepeated, "orderRepeated", http.StatusOK, Done, "The order ran before; this is its recorded result."},
 	{OrderNotRun, "orderNotRun", http.StatusServiceUnavailable, NotRun, "The order has not run."},
--- a/pkg/state/matcher/matcher.go
+++ b/pkg/state/matcher/matcher.go
@@ -66,7 +66,11 @@
 	Objective time.Duration
 	// Priority is the rank of the route; 0 is the most urgent.
 	Priority int
-	Target   Target
+	// Public is set if callers need no key.
+	Public bool
+	// Regions are those in which its requests may be served; all if there are none.
+	Regions []string
+	Target  Target
 }
 
 // SubRequests returns the number of sub-requests of a request on the route.
@@ -105,6 +109,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Organisations are the customers; without any, callers need no key.
+	Organisations []Organisation
 	// Problems are errors of entries that could not be decoded, which New returns with its own.
 	Problems []error
 }
@@ -114,6 +120,8 @@
 	cfg      Config
 	byHost   map[string]map[string]*Route
 	services map[string]Service
+
+	organisations organisations
 }
 
 // New returns the table of the routes, and an error that joins the errors of the invalid ones.
