pkg/coordination/pacer: find the pace of servers that have started or recovered

Cause: a server that registers or answers again gets all its usual requests at once, or one probe each 2 s. Change: placer gives such a server an eighth of its usual requests and raises the share by its answers (latency, load report, failures) and with time; on where the terms of a deployment have health. No message passes between hosts.

--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -289,6 +289,7 @@
 		case <-expiry.C:
 			e.updateServers(e.servers.Expire(time.Now()), "lapsed")
 			e.metrics.updateBudget(e.machine)
+			e.logPaces()
 			e.machine.Vetter().Expire(time.Now())
 		case <-assessment.C:
 			e.assess(time.Now())
--- a/internal/forwarder/policy.go
+++ b/internal/forwarder/policy.go
@@ -80,6 +80,9 @@
 	// PauseMemory is how long after a pause (Retry-After) a server without a free slot
 	// is avoided if another server is available, as it may reject requests.
 	PauseMemory *decoder.Duration `json:"pauseMemory"`
+	// Pace raises the share of requests that a server gets after it has started or recovered by
+	// how it answers. By default it is on where the terms of the deployment have "health".
+	Pace *bool `json:"pace"`
 }
 
 // valueOr returns the value of a setting, or its default.
@@ -103,7 +106,7 @@
 	reach := detector.DefaultConfig()
 	reach.DoubtAfter = durationOr(p.PathDoubt, reach.DoubtAfter)
 	return scatterer.Config{
-		Placer:              p.placer(s.Domain),
+		Placer:              s.placer(),
 		Detector:            reach,
 		Relays:              valueOr(p.Relays, true),
 		Vetting:             valueOr(p.VetRequests, true),
@@ -120,8 +123,11 @@
 	}
 }
 
-func (p Policy) placer(domain string) placer.Config {
-	cfg := placer.DefaultConfig(domain)
+func (s Settings) placer() placer.Config {
+	p, cfg := s.Policy, placer.DefaultConfig(s.Domain)
+	if s.paces() {
+		cfg.Pace, cfg.Host = true, s.Name
+	}
 	cfg.ObservationMaxAge = durationOr(p.LatencyMemory, cfg.ObservationMaxAge)
 	cfg.LoadReportMaxAge = durationOr(p.ReportLife, cfg.LoadReportMaxAge)
 	cfg.QueueCost = valueOr(p.QueueCost, cfg.QueueCost)
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -69,6 +69,9 @@
 	// Policy holds the parameters of routing decisions that differ from their
 	// defaults.
 	Policy Policy `json:"policy"`
+	// Terms are the names of the terms that the deployment's operators hold the system to;
+	// unknown ones have no effect.
+	Terms []string `json:"terms"`
 	// Bounds are the times within which changes have to be in force.
 	Bounds Bounds `json:"bounds"`
 	// Grace is the time from SIGTERM until the platform kills the process.
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -88,6 +88,8 @@
 	VerdictDecided       Event = 554
 	EvidenceUnsaved      Event = 555
 	EvidenceUnread       Event = 556
+	PaceBegun            Event = 610
+	PaceEnded            Event = 611
 )
 
 // Definition describes one log event.
@@ -165,6 +167,8 @@
 	{VerdictDecided, "verdictDecided", "An operator has lifted the verdict on a request, or blocked the request."},
 	{EvidenceUnsaved, "evidenceUnsaved", "The evidence of this host against requests could not be written to the store; it is written again."},
 	{EvidenceUnread, "evidenceUnread", "Evidence against requests could not be read from the store; the rest is used."},
+	{PaceBegun, "paceBegun", "A backend server has started or recovered; it gets a part of its usual requests, which grows with its answers."},
+	{PaceEnded, "paceEnded", "A backend server gets all its usual requests again."},
 }
 
 // Catalogue returns the definitions of all log events in ascending order.
--- a/pkg/coordination/placer/placer.go
+++ b/pkg/coordination/placer/placer.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/pacer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
 )
 
@@ -97,6 +98,10 @@
 	// OverloadMaxAge is how long after its last pause a server gets no requests beyond
 	// its free slots while another server is available.
 	OverloadMaxAge time.Duration
+	// Pace raises the share of requests of a server that has started or recovered by how it
+	// answers; Host is the name of this host.
+	Pace bool
+	Host string
 }
 
 // DefaultConfig returns the settings of a host in a failure domain.
@@ -188,6 +193,11 @@
 	reportedAt  time.Time
 	// loadFromRejection is set if the load was reported with a rejected request.
 	loadFromRejection bool
+	// seenIncarnation is the last listed incarnation, if seen; ramp is set while the server is
+	// paced.
+	seen            bool
+	seenIncarnation int64
+	ramp            *pacer.Ramp
 }
 
 // domainState holds the observations of one failure domain.
@@ -208,6 +218,10 @@
 	cfg     Config
 	servers map[string]*serverState
 	domains map[string]*domainState
+	// firstChoiceAt is when a server was first chosen, paced the number of servers with a ramp.
+	firstChoiceAt time.Time
+	paced         int
+	paceChanges   []PaceChange
 }
 
 // New returns a placer without observations.
@@ -243,6 +257,7 @@
 func (p *Placer) Forget(now time.Time, id string) {
 	state := p.servers[id]
 	if state != nil && len(state.inFlight) == 0 && !now.Before(state.pausedUntil) {
+		p.endPace(state)
 		delete(p.servers, id)
 	}
 }
@@ -297,10 +312,11 @@
 }
 
 func (p *Placer) choose(now time.Time, candidates []*lister.Server, excluded []string, typical time.Duration, suspects bool) (Choice, bool) {
-	var best Choice
-	found := false
+	var best, unpaced Choice
+	found, foundUnpaced := false, false
 	for _, candidate := range candidates {
 		state := p.server(candidate)
+		p.pace(now, candidate, state)
 		if state.wrongServer || state.paused(now, candidate) || slices.Contains(excluded, candidate.ID) {
 			continue
 		}
@@ -319,6 +335,12 @@
 		if !found || choice.before(best) {
 			best, found = choice, true
 		}
+		if state.ramp == nil && (!foundUnpaced || choice.before(unpaced)) {
+			unpaced, foundUnpaced = choice, true
+		}
+	}
+	if found && p.paced > 0 {
+		best = p.keepPace(now, best, unpaced, foundUnpaced)
 	}
 	return best, found
 }
@@ -517,6 +539,9 @@
 	state := p.server(s)
 	state.adoptIncarnation(s)
 	state.inFlight = append(state.inFlight, now)
+	if state.ramp != nil {
+		state.ramp.Sent()
+	}
 	d := p.domain(state.domain)
 	if p.unreachable(now, d) && now.Sub(d.probedAt) >= domainProbeInterval {
 		d.probedAt = now
@@ -551,8 +576,10 @@
 		state.unconnected = true
 	case Failed, TimedOut, Canceled:
 	}
+	p.paceEnded(now, state, result)
 	switch result.Outcome {
 	case Answered:
+		p.recovered(now, id, state)
 		p.answered(now, state, result)
 	case Rejected:
 		switch {
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -237,6 +237,16 @@
 	m.placer.Pause(now, server, d)
 }
 
+// Paced returns the number of servers that get a part of their usual requests.
+func (m *Machine) Paced() int {
+	return m.placer.Paced()
+}
+
+// TakePaceChanges returns the paces of servers that have begun or ended since the last call.
+func (m *Machine) TakePaceChanges() []placer.PaceChange {
+	return m.placer.TakePaceChanges()
+}
+
 // RegistrationChanged records that the registration of a server has changed.
 func (m *Machine) RegistrationChanged(id string) {
 	m.placer.RegistrationChanged(id)
