internal/forwarder: callers identify themselves by keys of organisations

Cause: the configuration's organisations and keys were not read, so that any caller was served and servers got the callers' keys. Change: the adapter decodes organisations and public routes; a caller is found by the digest of its key, refused with unknownKey (staleRoutes while the configuration may be out of date), and servers and other hosts get the organisation's name instead of the key. Without organisations nothing changes.

--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -17,6 +17,12 @@
 	failure = f.awaitTurn(ctx, a)
 	if failure != nil {
 		f.returnQuota(a)
+		return failure
+	}
+	failure = f.recheck(a)
+	if failure != nil {
+		f.endTurn(a)
+		f.returnQuota(a)
 	}
 	return failure
 }
--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -30,6 +30,8 @@
 	unreachable *metrics.Gauge
 	suspected   *metrics.Gauge
 	blocked     *metrics.Gauge
+	// organisations is the number of organisations in the configuration in force.
+	organisations *metrics.Gauge
 }
 
 func newCounters() *counters {
@@ -50,6 +52,8 @@
 		unreachable: set.NewGauge("rhubarbpost_domains_unreachable", nil),
 		suspected:   set.NewGauge("rhubarbpost_requests_suspected", nil),
 		blocked:     set.NewGauge("rhubarbpost_requests_blocked", nil),
+
+		organisations: set.NewGauge("rhubarbpost_organisations", nil),
 	}
 }
 
@@ -108,6 +112,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_requests_refused_total{result=%q}", code)).Inc()
 }
 
+// unidentified records a request that was refused because of its key.
+func (c *counters) unidentified(reason keyProblem) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_callers_unidentified_total{reason=%q}", reason)).Inc()
+}
+
 // sent records an attempt by its reason and by whether the server is in the host's
 // own failure domain.
 func (c *counters) sent(reason scatterer.Reason, own bool) {
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -352,6 +352,7 @@
 	out.header.Set(delegationHeader, strconv.FormatUint(a.version, 10))
 	out.header.Set("Expect", "100-continue")
 	out.header.Set(spentHeader, strconv.FormatInt(time.Since(a.received).Milliseconds(), 10))
+	a.identity.setHeader(out.header, a.organisationName())
 	f.cfg.Dialect.SetRemaining(out.header, time.Until(a.expires))
 	for name, value := range headers {
 		out.header.Set(name, value)
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -72,6 +72,7 @@
 	reply       chan reply
 	// organisation is the caller's, nil if the configuration has none or it isn't known.
 	organisation *matcher.Organisation
+	identity     identity
 	// delegated is true if another host has delegated the request, relay has the terms if it
 	// has sent it on.
 	delegated bool
@@ -540,9 +541,11 @@
 	}
 	e.completed++
 	if covered < len(answers) || e.completed%logSampleInterval == 0 {
-		e.log.Info(logger.RequestAnswered, "request", r.call.ID, "route", r.route.Name, "version", r.version,
+		e.log.Info(logger.RequestAnswered, r.withIdentity(
+			"request", r.call.ID, "route", r.route.Name, "version", r.version,
 			"covered", covered, "parts", len(answers), "early", a.Early, "missing", describeMissing(a.Missing),
-			"tookMillis", a.Took.Milliseconds(), "leftMillis", (r.call.Remaining - a.Took).Milliseconds())
+			"tookMillis", a.Took.Milliseconds(), "leftMillis", (r.call.Remaining-a.Took).Milliseconds(),
+		)...)
 	}
 	e.assessor.RequestEnded(time.Now(), true)
 	r.reply <- reply{answers: answers, draining: r.draining, limits: e.limitsOf(r, a.Missing)}
@@ -571,10 +574,12 @@
 	r := e.requests[a.Request]
 	a.Failure = e.delayRetry(time.Now(), a.Failure)
 	e.metrics.refused(a.Failure.Code)
-	e.log.Warn(logger.RequestRefused, "request", r.call.ID, "route", r.route.Name, "version", r.version,
+	e.log.Warn(logger.RequestRefused, r.withIdentity(
+		"request", r.call.ID, "route", r.route.Name, "version", r.version,
 		"result", a.Failure.Code, "detail", a.Failure.Detail, "notRun", a.Failure.Code.NotRun(), "fingerprint", r.fingerprint,
 		"retryAfterMillis", a.Failure.RetryAfter.Milliseconds(), "missing", describeMissing(a.Missing),
-		"tookMillis", a.Took.Milliseconds(), "leftMillis", (r.call.Remaining - a.Took).Milliseconds())
+		"tookMillis", a.Took.Milliseconds(), "leftMillis", (r.call.Remaining-a.Took).Milliseconds(),
+	)...)
 	if !vetted(a.Failure.Code) {
 		e.assessor.RequestEnded(time.Now(), false)
 	}
--- a/internal/forwarder/follower.go
+++ b/internal/forwarder/follower.go
@@ -267,5 +267,7 @@
 	}
 	f.table.Store(table)
 	f.metrics.version.Set(float64(table.Version()))
-	f.cfg.Logger.Info(logger.RoutesAdopted, "version", table.Version(), "revision", table.Revision(), "routes", table.RouteCount())
+	f.metrics.organisations.Set(float64(table.OrganisationCount()))
+	f.cfg.Logger.Info(logger.RoutesAdopted, "version", table.Version(), "revision", table.Revision(), "routes", table.RouteCount(),
+		"organisations", table.OrganisationCount(), "keysRequired", table.HasOrganisations())
 }
--- a/internal/forwarder/gather.go
+++ b/internal/forwarder/gather.go
@@ -89,7 +89,7 @@
 func (f *Forwarder) acceptFromPeer(w http.ResponseWriter, r *http.Request, version string, relay relayTerms) (*arrival, error) {
 	sliceIndexes, needed, spent := r.Header.Get(sliceHeader), r.Header.Get(neededHeader), takeSpent(r.Header)
 	removeProceedByte(r)
-	a, failure := f.accept(w, r)
+	a, failure := f.accept(w, r, takeSender(r.Header))
 	if failure != nil {
 		return nil, errNotAccepted
 	}
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -38,7 +38,7 @@
 	if f.divertsCallers() {
 		w.Header().Set("Connection", "close")
 	}
-	a, failure := f.accept(w, r)
+	a, failure := f.accept(w, r, sender{})
 	if failure == nil {
 		failure = f.engine.blockedFailure(a.received, a.fingerprint)
 	}
@@ -83,9 +83,9 @@
 	}
 }
 
-// accept reads a caller's request and finds its route, or returns why the request is
-// refused.
-func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request) (*arrival, *classifier.Failure) {
+// accept reads a caller's request and finds its route and organisation, or returns why the
+// request is refused.
+func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request, from sender) (*arrival, *classifier.Failure) {
 	a := &arrival{reply: make(chan reply, 1)}
 	table := f.table.Load()
 	if table == nil || !f.engine.servesRequests.Load() {
@@ -108,7 +108,7 @@
 			WithRetryAfter(transientRetryAfter)
 	}
 	a.route, a.version = route, table.Version()
-	failure := f.identify(r, table, a)
+	failure := f.identify(r, table, a, from)
 	if failure != nil {
 		return a, failure
 	}
@@ -125,8 +125,11 @@
 	if !ok {
 		header["User-Agent"] = nil
 	}
+	if a.identity.applies {
+		f.cfg.Dialect.SetOrganisation(header, a.organisationName())
+	}
 	a.outbound = outbound{method: r.Method, url: r.URL, host: r.Host, header: header, body: body}
-	a.fingerprint = vetter.Identity{Method: r.Method, Host: call.Host, Target: r.RequestURI, Caller: call.Caller, Body: body}.Fingerprint()
+	a.fingerprint = vetter.Identity{Method: r.Method, Host: call.Host, Target: r.RequestURI, Caller: a.callerIdentity(), Body: body}.Fingerprint()
 	return a, nil
 }
 
@@ -186,7 +189,7 @@
 
 // removeOwnHeaders removes the headers of exchanges between hosts, which callers must not set.
 func removeOwnHeaders(h http.Header) {
-	for _, name := range []string{sliceHeader, neededHeader, delegationHeader, relayHeader, spentHeader} {
+	for _, name := range []string{sliceHeader, neededHeader, delegationHeader, relayHeader, spentHeader, organisationHeader} {
 		h.Del(name)
 	}
 }
@@ -194,14 +197,19 @@
 // refuse refuses a request that did not reach the engine of this host.
 func (f *Forwarder) refuse(w http.ResponseWriter, a *arrival, failure *classifier.Failure) {
 	f.metrics.refused(failure.Code)
-	f.cfg.Logger.Warn(logger.RequestRefused, "request", a.call.ID, "result", failure.Code, "detail", failure.Detail, "fingerprint", a.fingerprint,
+	f.cfg.Logger.Warn(logger.RequestRefused, a.withIdentity(
+		"request", a.call.ID, "result", failure.Code, "detail", failure.Detail, "fingerprint", a.fingerprint,
 		"notRun", failure.Code.NotRun(), "retryAfterMillis", failure.RetryAfter.Milliseconds(),
-		"storeAgeMillis", time.Since(f.confirmedAt()).Milliseconds())
+		"storeAgeMillis", time.Since(f.confirmedAt()).Milliseconds(),
+	)...)
 	f.writeFailure(w, failure)
 }
 
 func (f *Forwarder) writeFailure(w http.ResponseWriter, failure *classifier.Failure) {
 	f.cfg.Dialect.SetRetryAfter(w.Header(), failure.RetryAfter)
+	if failure.Code == classifier.UnknownKey {
+		f.cfg.Dialect.SetChallenge(w.Header())
+	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	text := failure.Error() + "\n"
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
--- a/internal/forwarder/types.go
+++ b/internal/forwarder/types.go
@@ -76,6 +76,13 @@
 type Dialect interface {
 	// Call parses the headers of a caller's request.
 	Call(r *http.Request) (Call, error)
+	// Key returns the key by which a caller identifies itself, empty without one.
+	Key(h http.Header) string
+	// SetOrganisation removes the caller's credentials from the headers of a request, and sets
+	// the header that names its organisation or, if the name is empty, removes it.
+	SetOrganisation(h http.Header, name string)
+	// SetChallenge sets the header that tells a caller without a valid key how to identify itself.
+	SetChallenge(h http.Header)
 	// SetRemaining sets the header that states how long the caller still waits.
 	SetRemaining(h http.Header, remaining time.Duration)
 	// SetTarget sets the headers that direct a request to one incarnation of a server.
--- a/pkg/state/matcher/matcher.go
+++ b/pkg/state/matcher/matcher.go
@@ -109,8 +109,11 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
-	// Organisations are the customers; without any, callers need no key.
+	// Organisations are the customers; without any, callers need no key unless KeysRequired is set.
 	Organisations []Organisation
+	// KeysRequired is set if callers need a key, but for public routes, even if no organisation
+	// can be used.
+	KeysRequired bool
 	// Problems are errors of entries that could not be decoded, which New returns with its own.
 	Problems []error
 }
@@ -124,14 +127,18 @@
 	organisations organisations
 }
 
-// New returns the table of the routes, and an error that joins the errors of the invalid ones.
-// These are unusable where they have a prefix, and left out otherwise.
+// New returns the table of the routes and organisations, and an error that joins the errors of the
+// invalid ones. Invalid routes are unusable where they have a prefix, and left out otherwise.
 func New(cfg Config) (*Table, error) {
 	t := &Table{cfg: cfg, byHost: make(map[string]map[string]*Route), services: make(map[string]Service, len(cfg.Services))}
 	for _, service := range cfg.Services {
 		t.services[service.Name] = service
 	}
-	problems := slices.Clone(cfg.Problems)
+	var rejected []error
+	t.organisations, rejected = newOrganisations(cfg.Organisations, cfg.KeysRequired)
+	// The table must not keep the keys.
+	t.cfg.Organisations = nil
+	problems := slices.Concat(cfg.Problems, rejected)
 	for i := range cfg.Routes {
 		route := &cfg.Routes[i]
 		err := route.check()
