--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -76,6 +76,7 @@
 	Host     string
 	Body     string
 	Deadline string
+	Header   http.Header
 	At       time.Time
 }
 
@@ -276,7 +277,7 @@
 	}
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, Arrival{
-		ID: id, Method: r.Method, Path: r.URL.RequestURI(), Host: r.Host, Body: body, Deadline: r.Header.Get("X-Deadline-Ms"), At: time.Now(),
+		ID: id, Method: r.Method, Path: r.URL.RequestURI(), Host: r.Host, Body: body, Deadline: r.Header.Get("X-Deadline-Ms"), Header: r.Header, At: time.Now(),
 	})
 	s.mu.Unlock()
 	time.Sleep(b.Delay)
