--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -90,6 +90,7 @@
 	EvidenceUnread       Event = 556
 	PaceBegun            Event = 610
 	PaceEnded            Event = 611
+	KeyWithdrawn         Event = 560
 )
 
 // Definition describes one log event.
@@ -169,6 +170,7 @@
 	{EvidenceUnread, "evidenceUnread", "Evidence against requests could not be read from the store; the rest is used."},
 	{PaceBegun, "paceBegun", "A backend server has started or recovered; it gets a part of its usual requests, which grows with its answers."},
 	{PaceEnded, "paceEnded", "A backend server gets all its usual requests again."},
+	{KeyWithdrawn, "keyWithdrawn", "A newer configuration has taken away the key of a request in flight, which is sent to no further server; the line has the version by which it was accepted."},
 }
 
 // Catalogue returns the definitions of all log events in ascending order.
