--- a/pkg/coordination/allotter/allotter.go
+++ b/pkg/coordination/allotter/allotter.go
@@ -32,14 +32,14 @@
 	poolLife = 30 * time.Second
 )
 
-// demand is a count of wanted requests that decays with demandTime.
-type demand struct {
+// Demand is a count of wanted requests that decays with a time constant of a second.
+type Demand struct {
 	count float64
 	at    time.Time
 }
 
-// add adds requests and returns the rate per second.
-func (d *demand) add(now time.Time, n int) float64 {
+// Add adds requests and returns the rate per second.
+func (d *Demand) Add(now time.Time, n int) float64 {
 	d.count = d.count*math.Exp(-now.Sub(d.at).Seconds()/demandTime.Seconds()) + float64(n)
 	d.at = now
 	return d.count / demandTime.Seconds()
@@ -47,7 +47,7 @@
 
 // asker is what is known of one host that asks for the tokens of a server.
 type asker struct {
-	demand
+	Demand
 
 	// credit is what the host may still get of its share of the limit, in tokens.
 	credit float64
@@ -61,7 +61,7 @@
 	tokens     float64
 	refilledAt time.Time
 	// demand is that of all hosts together.
-	demand demand
+	demand Demand
 	askers map[string]*asker
 }
 
@@ -127,7 +127,7 @@
 	p := a.pools[ask.Incarnation]
 	if p == nil {
 		// The pool holds what the host would have gained since an ask before.
-		p = &pool{limit: ask.Limit, refilledAt: now.Add(-AskInterval), settledAt: now.Add(settleTime), demand: demand{at: now}, askers: make(map[string]*asker)}
+		p = &pool{limit: ask.Limit, refilledAt: now.Add(-AskInterval), settledAt: now.Add(settleTime), demand: Demand{at: now}, askers: make(map[string]*asker)}
 		a.pools[ask.Incarnation] = p
 	}
 	if now.Sub(p.refilledAt) > unaskedTime {
@@ -149,11 +149,11 @@
 	}
 	h := p.askers[host]
 	if h == nil {
-		h = &asker{demand: demand{at: now}, credit: 1}
+		h = &asker{Demand: Demand{at: now}, credit: 1}
 		p.askers[host] = h
 	}
 	since := now.Sub(h.at).Seconds()
-	rate, share, total := p.limit.rate(), h.add(now, ask.Wanted), p.demand.add(now, ask.Wanted)
+	rate, share, total := p.limit.rate(), h.Add(now, ask.Wanted), p.demand.Add(now, ask.Wanted)
 	scarce := total > rate
 	if scarce {
 		share *= rate / total
