pkg/coordination/rationer: fractions of tokens are lent, substitutes begin without tokens

A burst of 18 at one host, which is the quota's, got 16 tokens, since each domain lent whole ones only: now 18 (TestBurstAtOneHostIsAdmitted). Hosts that start one after the other after the end of all each take over for a moment; what they begin with adds up, so a substitute begins with nothing.

--- a/pkg/coordination/rationer/fleet_test.go
+++ b/pkg/coordination/rationer/fleet_test.go
@@ -305,9 +305,16 @@
 	return f.nodes[domain][f.rng.IntN(len(f.nodes[domain]))]
 }
 
-func (f *fleet) kill(n *node) {
+// kill ends a process, which starts again after some time.
+func (f *fleet) kill(n *node, longest time.Duration) {
 	n.down = true
-	f.nodes[n.domain][n.rank] = f.newNode(n.domain, n.rank)
+	next := f.newNode(n.domain, n.rank)
+	next.down = true
+	f.nodes[n.domain][n.rank] = next
+	f.after(time.Duration(f.rng.Int64N(int64(longest))), func() {
+		next.down = false
+		f.tick(next)
+	})
 }
 
 // freeze stops a host, and its steady clock too if suspended.
--- a/pkg/coordination/rationer/loan.go
+++ b/pkg/coordination/rationer/loan.go
@@ -11,6 +11,8 @@
 	loanTime = 300 * time.Millisecond
 	// reserveTime is for how long of its own demand a domain keeps tokens.
 	reserveTime = 500 * time.Millisecond
+	// minLoan is the least part of a token that is lent.
+	minLoan = 0.25
 	// minLoanInterval is the least time until a domain without tokens to lend is asked again,
 	// silenceTime that for one that has not answered.
 	minLoanInterval = 100 * time.Millisecond
@@ -27,7 +29,8 @@
 // Loan is the answer to a LoanAsk. Its tokens have left the bucket of the lender, so that those
 // of an answer that is lost are never used.
 type Loan struct {
-	Tokens int `json:"tokens"`
+	// Tokens may have a fraction, so that what is left in several buckets adds up.
+	Tokens float64 `json:"tokens"`
 	// WaitMillis is when the lender may have a token to lend if it has lent less than asked for.
 	WaitMillis int64 `json:"waitMillis"`
 }
@@ -54,8 +57,13 @@
 func (r *Rationer) Lend(now time.Time, p Position, ask LoanAsk) Loan {
 	b := r.bucket(now, p, ask.Subject)
 	reserve := min(b.demand.Add(now, 0)*reserveTime.Seconds(), b.terms.capacity/2)
-	loan := Loan{Tokens: b.take(min(ask.Tokens, int(math.Floor(b.level-reserve))))}
-	if loan.Tokens < ask.Tokens {
+	var loan Loan
+	spare := min(float64(ask.Tokens), b.level-reserve)
+	if spare >= minLoan {
+		loan.Tokens = spare
+		b.level -= spare
+	}
+	if loan.Tokens < float64(ask.Tokens) {
 		loan.WaitMillis = max(b.untilLevel(1+reserve), minLoanInterval).Milliseconds()
 	}
 	return loan
@@ -67,7 +75,7 @@
 	if b == nil {
 		return
 	}
-	b.level += float64(max(loan.Tokens, 0))
+	b.level += max(loan.Tokens, 0)
 	if loan.WaitMillis > 0 {
 		b.lenders[domain] = now.Add(time.Duration(loan.WaitMillis) * time.Millisecond)
 	}
--- a/pkg/coordination/rationer/rationer.go
+++ b/pkg/coordination/rationer/rationer.go
@@ -50,6 +50,8 @@
 	// Left is what the bucket holds then, Quota the quota that it goes by.
 	Left  float64 `json:"left"`
 	Quota Quota   `json:"quota"`
+	// By is the host that keeps the bucket.
+	By string `json:"by"`
 }
 
 // bucket has the tokens of one organisation that are not granted yet.
@@ -151,7 +153,9 @@
 	if b == nil {
 		b = &bucket{version: s.Version, quota: s.Quota, createdAt: now, refilledAt: now, askedAt: now, lenders: make(map[string]time.Time)}
 		b.terms = r.rule.terms(s.Quota, p)
-		b.level = b.terms.initial
+		if !p.Substitute {
+			b.level = b.terms.initial
+		}
 		r.buckets[s.Organisation] = b
 	}
 	if s.Version > b.version {
--- a/pkg/coordination/rationer/rationer_test.go
+++ b/pkg/coordination/rationer/rationer_test.go
@@ -41,6 +41,32 @@
 	}
 }
 
+// TestBurstAtOneHostIsAdmitted has an organisation that was silent send its burst to one host.
+func TestBurstAtOneHostIsAdmitted(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2, 4, 15, Quota{18, 18})
+	f.run(10*time.Second, 11, f.anywhere)
+	f.until(f.now.Add(10 * time.Second))
+	f.sent = nil
+	for range 18 {
+		f.request(f.nodes["d3"][4])
+	}
+	f.until(f.now.Add(100 * time.Millisecond))
+	is.Equal(len(f.sent), 18)
+}
+
+// TestFrozenHostGainsNothing checks that the buckets of a host that stood still, for which another one
+// may have granted, hold what they held before.
+func TestFrozenHostGainsNothing(t *testing.T) {
+	is := is.New(t)
+	r, p, ask := New(rule), Position{Domains: 1}, Ask{Subject: Subject{"o", 1, Quota{10, 10}}, Waiting: 100}
+	r.Tick(start)
+	r.Allot(start, p, ask)
+	is.True(r.Tick(start.Add(4 * time.Second)))
+	is.Equal(r.Allot(start.Add(4*time.Second), p, ask).Tokens, 0)
+	is.Equal(r.Allot(start.Add(4500*time.Millisecond), p, ask).Tokens, 5)
+}
+
 // TestSmallOrganisationIsNotRefused has one request in ten seconds, in bursts of three, from the
 // first moment on.
 func TestSmallOrganisationIsNotRefused(t *testing.T) {
@@ -65,7 +91,8 @@
 		f := newFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 5).Draw(t, "domains"), rapid.IntRange(2, 15).Draw(t, "hosts"), Quota{rate, rate})
 		f.loss = rapid.SampledFrom([]float64{0, 0.02}).Draw(t, "loss")
 		demand := func() float64 { return rate * rapid.SampledFrom([]float64{0.6, 3, 7}).Draw(t, "demand") }
-		f.run(4*time.Second, demand(), f.anywhere)
+		pick := rapid.SampledFrom([]func() *node{f.anywhere, func() *node { return f.in(f.domains[0]) }}).Draw(t, "place")
+		f.run(4*time.Second, demand(), pick)
 		for range rapid.IntRange(1, 4).Draw(t, "failures") {
 			what := rapid.SampledFrom([]string{"cut", "killFirst", "killAll", "freeze", "suspend", "disagree", "halve"}).Draw(t, "failure")
 			domain := f.domains[f.rng.IntN(len(f.domains))]
@@ -73,11 +100,12 @@
 			case "cut":
 				f.cut = domain
 			case "killFirst":
-				f.kill(f.nodes[domain][0])
+				f.kill(f.nodes[domain][0], 2*time.Second)
 			case "killAll":
+				longest := time.Duration(rapid.IntRange(1, 3000).Draw(t, "restartMillis")) * time.Millisecond
 				for _, nodes := range f.nodes {
 					for _, n := range nodes {
-						f.kill(n)
+						f.kill(n, longest)
 					}
 				}
 			case "freeze", "suspend":
@@ -86,20 +114,20 @@
 				f.disagree = true
 				f.nodes[domain][0].down = true
 			}
-			f.run(time.Duration(rapid.IntRange(100, 6000).Draw(t, "length"))*time.Millisecond, demand(), f.anywhere)
+			f.run(time.Duration(rapid.IntRange(100, 6000).Draw(t, "length"))*time.Millisecond, demand(), pick)
 			f.check(t, what)
 			f.cut, f.disagree = "", false
-			if f.nodes[domain][0].down {
-				f.kill(f.nodes[domain][0])
+			if what == "disagree" {
+				f.kill(f.nodes[domain][0], 2*time.Second)
 			}
 			if what == "halve" {
 				f.subject.Version++
 				f.subject.Quota = Quota{f.subject.Quota.Rate / 2, f.subject.Quota.Burst / 2}
-				f.run(time.Second, demand(), f.anywhere)
+				f.run(time.Second, demand(), pick)
 				f.sent = nil
 			}
 		}
-		f.run(8*time.Second, demand(), f.anywhere)
+		f.run(8*time.Second, demand(), pick)
 		f.check(t, "at the end")
 	})
 }
