internal/forwarder: requests are charged to the quota of their organisation

Organisations had quotas that nothing kept. A request takes a token from the host's purse, or asks the host that keeps the bucket of its failure domain, which borrows from other domains what is missing. Settings quota.window, .overshoot, .slack and .domains state what the deployment allows; by default not more than the quota.

--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/detector"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/rationer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/vetter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
@@ -30,6 +31,8 @@
 	unreachable *metrics.Gauge
 	suspected   *metrics.Gauge
 	blocked     *metrics.Gauge
+	// quotaBuckets is the number of organisations for which this host keeps the bucket.
+	quotaBuckets *metrics.Gauge
 }
 
 func newCounters() *counters {
@@ -50,6 +53,8 @@
 		unreachable: set.NewGauge("rhubarbpost_domains_unreachable", nil),
 		suspected:   set.NewGauge("rhubarbpost_requests_suspected", nil),
 		blocked:     set.NewGauge("rhubarbpost_requests_blocked", nil),
+
+		quotaBuckets: set.NewGauge("rhubarbpost_quota_buckets", nil),
 	}
 }
 
@@ -155,6 +160,49 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_token_asks_total{ok=\"%t\"}", err == nil)).Inc()
 }
 
+// quotaSpent records a request that was charged to a quota.
+func (c *counters) quotaSpent(charge rationer.Charge) {
+	result := "admitted"
+	if charge.Alone() {
+		result = "admittedAlone"
+	}
+	c.quotaRequest(result)
+}
+
+// quotaDenied records a request that was refused for its quota.
+func (c *counters) quotaDenied(denial *rationer.Denial) {
+	result := "refused"
+	if denial.Unanswered {
+		result = "unanswered"
+	}
+	c.quotaRequest(result)
+}
+
+// quotaReturned records a request that has not run.
+func (c *counters) quotaReturned(inTime bool) {
+	result := "returned"
+	if !inTime {
+		result = "returnedLate"
+	}
+	c.quotaRequest(result)
+}
+
+func (c *counters) quotaRequest(result string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_quota_requests_total{result=%q}", result)).Inc()
+}
+
+// quotaAsk records an ask of this host for tokens of a quota.
+func (c *counters) quotaAsk(err error) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_quota_asks_total{ok=\"%t\"}", err == nil)).Inc()
+}
+
+// quotaTokens records tokens of quotas that this host has granted, lent or borrowed.
+func (c *counters) quotaTokens(what string, n float64) {
+	if n > 0 {
+		c.set.GetOrCreateFloatCounter(fmt.Sprintf("rhubarbpost_quota_tokens_total{what=%q}", what)).Add(n)
+	}
+}
+
 // relayed records the end of a relay of this host.
 func (c *counters) relayed(err error) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_relays_sent_total{ok=\"%t\"}", err == nil)).Inc()
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -80,8 +81,9 @@
 	placer *placer.Placer
 	peers  *relayer.Peers
 	hosts  []delegator.Host
-	// allotters is chosen among hosts.
+	// allotters is chosen among hosts; keepers has the choice among those of each failure domain.
 	allotters delegator.Allotters
+	keepers   map[string]delegator.Allotters
 	// plans caches the results of plan by number of connections.
 	plans map[int]delegator.Plan
 	// tiers caches the results of relayTiers.
@@ -113,6 +115,7 @@
 	before = len(d.hosts)
 	d.hosts = read()
 	d.allotters = delegator.NewAllotters(d.hosts)
+	d.keepers = keepersIn(d.hosts)
 	d.peers.Retain(d.hosts)
 	clear(d.plans)
 	clear(d.tiers)
@@ -134,6 +137,35 @@
 	return d.allotters
 }
 
+// keepersIn returns which hosts of each failure domain keep the buckets of quotas.
+func keepersIn(hosts []delegator.Host) map[string]delegator.Allotters {
+	byDomain := make(map[string][]delegator.Host)
+	for _, host := range hosts {
+		byDomain[host.Domain] = append(byDomain[host.Domain], host)
+	}
+	keepers := make(map[string]delegator.Allotters, len(byDomain))
+	for domain, listed := range byDomain {
+		keepers[domain] = delegator.NewAllotters(listed)
+	}
+	return keepers
+}
+
+// keepersOf returns which hosts of a failure domain keep the buckets of quotas.
+func (d *delegate) keepersOf(domain string) delegator.Allotters {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.keepers[domain]
+}
+
+// domainsWith returns the failure domains of the hosts and some others, in their order.
+func (d *delegate) domainsWith(others []string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	domains := slices.AppendSeq(slices.Clone(others), maps.Keys(d.keepers))
+	slices.Sort(domains)
+	return slices.Compact(domains)
+}
+
 // plan returns how this host (self) serves queries over shards. Each server of these
 // shards accepts the given number of connections from all hosts together. The caller
 // holds d.mu.
@@ -272,6 +304,10 @@
 		answer, err := f.sendToGatherer(r, a, host)
 		f.recordDelegation(r.Context(), a, host, sent, err)
 		if err == nil {
+			if answer.Header.Get(notRunHeader) != "" {
+				f.returnQuota(a)
+				answer.Header.Del(notRunHeader)
+			}
 			f.engine.push(delegationEnd{answer.Status < http.StatusInternalServerError})
 			writeAnswer(w, r.Method, answer)
 			return true
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -13,6 +13,7 @@
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/allotter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/assessor"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/rationer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/vetter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
@@ -72,6 +73,8 @@
 	reply       chan reply
 	// organisation is the caller's, nil if the configuration has none or it isn't known.
 	organisation *matcher.Organisation
+	// charge is what the request has taken from the quota of the organisation.
+	charge rationer.Charge
 	// delegated is true if another host has delegated the request, relay has the terms if it
 	// has sent it on.
 	delegated bool
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -68,6 +68,7 @@
 	bodies   *bodyReader
 	delegate *delegate
 	tokens   *tokenBroker
+	quotas   *quotas
 	room     *room
 	engine   *engine
 	// listeners are those for readiness, metrics and other hosts; callers is the one
@@ -126,6 +127,7 @@
 		objects: cacher.New(), eras: newEras(), source: watcher.NewSource(cfg.Settings.sourceConfig()),
 	}
 	f.delegate, f.tokens = newDelegate(cfg), newTokenBroker()
+	f.quotas = newQuotas(cfg.Settings.Quota.rule())
 	f.settings.Store(&cfg.Settings)
 	f.room = newRoom(f.self())
 	f.store.Store(&openStore{f.connect(cfg.Settings.Store), cfg.Settings.Store})
@@ -166,6 +168,7 @@
 	})
 	calls := http.NewServeMux()
 	calls.HandleFunc("POST "+tokensPath, f.serveTokens)
+	calls.HandleFunc("POST "+quotasPath, f.serveQuotas)
 	calls.HandleFunc("POST "+recordsPath, f.serveRecords)
 	calls.HandleFunc("GET "+verdictsPath, f.serveVerdicts)
 	calls.HandleFunc("POST "+verdictsPath, f.serveDecision)
@@ -205,11 +208,11 @@
 }
 
 // Reload puts changed settings in force without interrupting requests. Name,
-// failure domain, capacity, link, bounds, listeners and log keep their values until a restart.
+// failure domain, capacity, link, bounds, quota, listeners and log keep their values until a restart.
 func (f *Forwarder) Reload(next Settings) {
 	held := f.Settings()
 	next.Name, next.Domain, next.Listen, next.Log = held.Name, held.Domain, held.Listen, held.Log
-	next.Capacity, next.Link, next.Bounds = held.Capacity, held.Link, held.Bounds
+	next.Capacity, next.Link, next.Bounds, next.Quota = held.Capacity, held.Link, held.Bounds, held.Quota
 	f.settings.Store(&next)
 	f.engine.push(policyChange{next.scatterer()})
 	old := f.store.Load()
@@ -276,5 +279,6 @@
 	f.client.close()
 	f.delegate.close()
 	f.tokens.close()
+	f.quotas.close()
 	f.store.Load().Close()
 }
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -218,8 +218,11 @@
 		addLimits(w.Header(), end.limits)
 	}
 	if end.failure != nil {
-		if a.slice && end.failure.Code.NotRun() {
-			w.Header().Set(notRunHeader, "1")
+		if end.failure.Code.NotRun() {
+			f.returnQuota(a)
+			if a.delegated && !a.relay.relayed {
+				w.Header().Set(notRunHeader, "1")
+			}
 		}
 		if a.slice && vetted(end.failure.Code) {
 			w.Header().Set(doubtHeader, "1")
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -1,14 +1,17 @@
 package forwarder
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/rationer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/watcher"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/decoder"
@@ -71,6 +74,8 @@
 	Policy Policy `json:"policy"`
 	// Bounds are the times within which changes have to be in force.
 	Bounds Bounds `json:"bounds"`
+	// Quota is how strictly the quotas of organisations are kept.
+	Quota Quota `json:"quota"`
 	// Grace is the time from SIGTERM until the platform kills the process.
 	Grace decoder.Duration `json:"grace"`
 	Log   Log              `json:"log"`
@@ -129,6 +134,32 @@
 	return s, errors.Join(c.problems...)
 }
 
+// Quota is what all hosts together may admit of the requests of an organisation, by default not
+// more than its quota.
+type Quota struct {
+	// Window is the time in which requests are counted, defaultQuotaWindow if it is 0.
+	Window decoder.Duration `json:"window"`
+	// Overshoot is a fraction of the quota, Slack a number of requests, that may be admitted on top
+	// in a window.
+	Overshoot float64 `json:"overshoot"`
+	Slack     float64 `json:"slack"`
+	// Domains are the failure domains that share the quotas, beside those of the hosts listed.
+	Domains []string `json:"domains"`
+}
+
+const defaultQuotaWindow = 5 * time.Second
+
+func (q Quota) check(c *settingsChecker) {
+	c.require(q.Window.Invalid() == "" && q.Window.Value() >= 0, "not a duration", `a duration such as "5s", 0s for `+defaultQuotaWindow.String(), "quota", "window")
+	c.require(q.Overshoot >= 0, "negative", "0 or more", "quota", "overshoot")
+	c.require(q.Slack >= 0, "negative", "0 or more", "quota", "slack")
+	c.require(!slices.Contains(q.Domains, ""), "an empty name", "names of failure domains", "quota", "domains")
+}
+
+func (q Quota) rule() rationer.Rule {
+	return rationer.Rule{Window: cmp.Or(q.Window.Value(), defaultQuotaWindow), Overshoot: q.Overshoot, Slack: q.Slack}
+}
+
 // sourceConfig returns the times that follow from the bounds.
 func (s Settings) sourceConfig() watcher.SourceConfig {
 	return watcher.SourceConfig{Bound: s.Bounds.least(), WatchWait: WatchWait, CompareInterval: compareInterval}
@@ -201,6 +232,7 @@
 	c.require(s.Grace.Value() > 0, "not a positive duration", `a duration such as "6s"`, "grace")
 	c.require(s.Log.BytesPerSecond > 0, "not positive", "1 or more", "log", "bytesPerSecond")
 	s.Bounds.check(c)
+	s.Quota.check(c)
 	s.Policy.check(c)
 	err := s.Log.Check()
 	if err != nil {
--- a/internal/forwarder/slice.go
+++ b/internal/forwarder/slice.go
@@ -26,7 +26,7 @@
 	neededHeader = "X-Rhubarbpost-Needed"
 	// proofHeader has one line with the proof of each covered shard.
 	proofHeader = "X-Rhubarbpost-Proof"
-	// notRunHeader marks the refusal of a slice of which no server has run a part.
+	// notRunHeader marks the refusal of a query or slice of which no server has run a part.
 	notRunHeader = "X-Rhubarbpost-Not-Run"
 	// sliceReserve is how much of the latency objective is reserved for the exchange
 	// of a slice: delegationReserve, and 3 ms to merge the slice with the other answers.
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -88,6 +88,11 @@
 	VerdictDecided       Event = 554
 	EvidenceUnsaved      Event = 555
 	EvidenceUnread       Event = 556
+	QuotaReached         Event = 570
+	QuotaUnanswered      Event = 571
+	QuotaTakenOver       Event = 572
+	QuotaNotLent         Event = 573
+	QuotaTimeLost        Event = 574
 )
 
 // Definition describes one log event.
@@ -165,6 +170,11 @@
 	{VerdictDecided, "verdictDecided", "An operator has lifted the verdict on a request, or blocked the request."},
 	{EvidenceUnsaved, "evidenceUnsaved", "The evidence of this host against requests could not be written to the store; it is written again."},
 	{EvidenceUnread, "evidenceUnread", "Evidence against requests could not be read from the store; the rest is used."},
+	{QuotaReached, "quotaReached", "A request was refused for the quota of its organisation; the line says what the bucket held, which host keeps it and when it told so, or that no host has answered."},
+	{QuotaUnanswered, "quotaUnanswered", "No host of the failure domain has answered an ask for tokens of a quota; this host admits a small share until one does."},
+	{QuotaTakenOver, "quotaTakenOver", "This host keeps the bucket of an organisation in place of a host that is lost, with a part of its terms at first."},
+	{QuotaNotLent, "quotaNotLent", "Another failure domain has not answered an ask to lend tokens of a quota; this one goes on with its own part."},
+	{QuotaTimeLost, "quotaTimeLost", "The process stood still; the buckets of quotas that it keeps gain nothing for that time."},
 }
 
 // Catalogue returns the definitions of all log events in ascending order.
--- a/pkg/coordination/rationer/purse.go
+++ b/pkg/coordination/rationer/purse.go
@@ -30,6 +30,9 @@
 	askedAt time.Time
 }
 
+// Alone reports whether a host that nobody answers has admitted the request.
+func (c Charge) Alone() bool { return c.askedAt.IsZero() }
+
 // Denial says why a request can't be admitted.
 type Denial struct {
 	// Wait is the time until the next token can be had.
@@ -193,7 +196,7 @@
 // used again.
 func (p *Purse) Return(now time.Time, c Charge) bool {
 	a := p.accounts[c.Organisation]
-	if a == nil || c.askedAt.IsZero() || a.subject.Version != c.Version || now.Sub(c.askedAt) >= TokenLife {
+	if a == nil || c.Alone() || a.subject.Version != c.Version || now.Sub(c.askedAt) >= TokenLife {
 		return false
 	}
 	a.tokens = append(a.tokens, c.askedAt)
--- a/pkg/coordination/rationer/rationer.go
+++ b/pkg/coordination/rationer/rationer.go
@@ -101,6 +101,9 @@
 	return &Rationer{rule: rule, buckets: make(map[string]*bucket)}
 }
 
+// Knows reports whether there is a bucket of an organisation.
+func (r *Rationer) Knows(organisation string) bool { return r.buckets[organisation] != nil }
+
 // Len returns the number of buckets.
 func (r *Rationer) Len() int { return len(r.buckets) }
 
