--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -147,6 +147,7 @@
 	Domains []string `json:"domains"`
 }
 
+// defaultQuotaWindow is the time in which the requests of an organisation are counted.
 const defaultQuotaWindow = 5 * time.Second
 
 func (q Quota) check(c *settingsChecker) {
--- a/pkg/coordination/rationer/rationer_test.go
+++ b/pkg/coordination/rationer/rationer_test.go
@@ -1,7 +1,9 @@
 package rationer
 
 import (
+	"encoding/json"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -229,13 +231,25 @@
 
 // BenchmarkAllot answers asks for 10,000 organisations.
 func BenchmarkAllot(b *testing.B) {
-	r, n := New(rule), 0
 	asks := make([]Ask, 10000)
 	for i := range asks {
 		asks[i] = Ask{Subject: Subject{fmt.Sprintf("organisation-%06d", i), 7, Quota{18, 18}}, Waiting: 1, Wanted: 1}
 	}
+	body, err := json.Marshal(asks)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	r, n := New(rule), 0
 	for b.Loop() {
 		r.Allot(start.Add(time.Duration(n)*time.Microsecond), Position{Domains: 13}, asks[n%len(asks)])
 		n++
 	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(len(body))/float64(len(asks)), "bytes/ask")
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(asks)), "heapBytes/organisation")
+	runtime.KeepAlive(r)
 }
