--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -88,9 +88,14 @@
 	VerdictDecided       Event = 554
 	EvidenceUnsaved      Event = 555
 	EvidenceUnread       Event = 556
+	KeyWithdrawn         Event = 560
+	QuotaReached         Event = 570
+	QuotaUnanswered      Event = 571
+	QuotaTakenOver       Event = 572
+	QuotaNotLent         Event = 573
+	QuotaTimeLost        Event = 574
 	PaceBegun            Event = 610
 	PaceEnded            Event = 611
-	KeyWithdrawn         Event = 560
 )
 
 // Definition describes one log event.
@@ -168,9 +173,14 @@
 	{VerdictDecided, "verdictDecided", "An operator has lifted the verdict on a request, or blocked the request."},
 	{EvidenceUnsaved, "evidenceUnsaved", "The evidence of this host against requests could not be written to the store; it is written again."},
 	{EvidenceUnread, "evidenceUnread", "Evidence against requests could not be read from the store; the rest is used."},
+	{KeyWithdrawn, "keyWithdrawn", "A newer configuration has taken away the key of a request in flight, which is sent to no further server; the line has the version by which it was accepted."},
+	{QuotaReached, "quotaReached", "A request was refused for the quota of its organisation; the line says what the bucket held, which host keeps it and when it told so, or that no host has answered."},
+	{QuotaUnanswered, "quotaUnanswered", "No host of the failure domain has answered an ask for tokens of a quota; this host admits a small share until one does."},
+	{QuotaTakenOver, "quotaTakenOver", "This host keeps the bucket of an organisation in place of a host that is lost, with a part of its terms at first."},
+	{QuotaNotLent, "quotaNotLent", "Another failure domain has not answered an ask to lend tokens of a quota; this one goes on with its own part."},
+	{QuotaTimeLost, "quotaTimeLost", "The process stood still; the buckets of quotas that it keeps gain nothing for that time."},
 	{PaceBegun, "paceBegun", "A backend server has started or recovered; it gets a part of its usual requests, which grows with its answers."},
 	{PaceEnded, "paceEnded", "A backend server gets all its usual requests again."},
-	{KeyWithdrawn, "keyWithdrawn", "A newer configuration has taken away the key of a request in flight, which is sent to no further server; the line has the version by which it was accepted."},
 }
 
 // Catalogue returns the definitions of all log events in ascending order.
