internal/forwarder: failure domains that operators evacuate get no requests

Change: hosts with bounds.evacuate follow the entries (one more watch on the hosts that follow the store, newest copy; the others by comparisons), and lister leaves the servers of those domains out of every directory. A host that starts refuses until it knows them. The detector gives no verdict on a domain without servers, and a refusal for lack of evacuated servers is no sign of a partition. Where the bound isn't set, nothing changes.

--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -27,6 +27,7 @@
 	draining    *metrics.Counter
 	pauses      *metrics.Counter
 	limited     *metrics.Gauge
+	evacuated   *metrics.Gauge
 	unreachable *metrics.Gauge
 	suspected   *metrics.Gauge
 	blocked     *metrics.Gauge
@@ -47,6 +48,7 @@
 		draining:    set.NewCounter("rhubarbpost_servers_announced_leaving_total"),
 		pauses:      set.NewCounter("rhubarbpost_server_pauses_total"),
 		limited:     set.NewGauge("rhubarbpost_servers_limited", nil),
+		evacuated:   set.NewGauge("rhubarbpost_domains_evacuated", nil),
 		unreachable: set.NewGauge("rhubarbpost_domains_unreachable", nil),
 		suspected:   set.NewGauge("rhubarbpost_requests_suspected", nil),
 		blocked:     set.NewGauge("rhubarbpost_requests_blocked", nil),
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -168,15 +168,17 @@
 
 // engine runs the scatterer in one goroutine and carries out its actions.
 type engine struct {
-	log      *logger.Logger
-	domain   string
-	metrics  *counters
-	client   *client
-	queue    *queuer.Queue[event]
-	machine  *scatterer.Machine
-	servers  *lister.Lister
-	assessor *assessor.Assessor
-	notReady atomic.Bool
+	log     *logger.Logger
+	domain  string
+	metrics *counters
+	client  *client
+	queue   *queuer.Queue[event]
+	machine *scatterer.Machine
+	servers *lister.Lister
+	// evacuated has the evacuated failure domains with the times at which this host learnt so.
+	evacuated map[string]time.Time
+	assessor  *assessor.Assessor
+	notReady  atomic.Bool
 	// isolated is true while no backend server can be reached, partitioned while the host is
 	// not ready since it reaches the store neither.
 	isolated    atomic.Bool
@@ -241,6 +243,7 @@
 		assessor:    assessor.New(assessor.DefaultConfig()),
 		requests:    make(map[uint64]*arrival),
 		outstanding: make(map[uint64]outstandingAttempt),
+		evacuated:   make(map[string]time.Time),
 		answers:     make(map[uint64]map[uint64]*Answer),
 		listed:      make(chan struct{}),
 		ctx:         ctx,
@@ -331,8 +334,8 @@
 		e.abandoned(now, item)
 	case confirmation:
 		e.act(e.machine.Step(now, &scatterer.Confirmed{Request: item.id}))
-	case *listing:
-		e.applyListing(now, item)
+	case *listing, evacuationsChange:
+		e.stepServers(now, item)
 	case storeState, peersProbed, peerNotReady, delegationEnd:
 		e.stepAssessor(now, item)
 	case drainNotice:
@@ -575,7 +578,7 @@
 		"result", a.Failure.Code, "detail", a.Failure.Detail, "notRun", a.Failure.Code.NotRun(), "fingerprint", r.fingerprint,
 		"retryAfterMillis", a.Failure.RetryAfter.Milliseconds(), "missing", describeMissing(a.Missing),
 		"tookMillis", a.Took.Milliseconds(), "leftMillis", (r.call.Remaining - a.Took).Milliseconds())
-	if !vetted(a.Failure.Code) {
+	if !vetted(a.Failure.Code) && !e.lacksEvacuated(a.Failure.Code) {
 		e.assessor.RequestEnded(time.Now(), false)
 	}
 	r.reply <- reply{failure: a.Failure, draining: r.draining, limits: e.limitsOf(r, a.Missing)}
@@ -617,13 +620,26 @@
 	delete(e.answers, id)
 }
 
+// stepServers handles the events that concern the list of backend servers.
+func (e *engine) stepServers(now time.Time, item event) {
+	switch item := item.(type) {
+	case *listing:
+		e.applyListing(now, item)
+	case evacuationsChange:
+		e.applyEvacuations(now, item)
+	}
+}
+
 // applyListing applies changes of the list of backend servers.
 func (e *engine) applyListing(now time.Time, item *listing) {
 	if item.afterOutage {
 		e.servers.StoreRecovered(now)
 	}
 	if item.complete {
-		e.listOnce.Do(func() { close(e.listed) })
+		defer e.listOnce.Do(func() {
+			close(e.listed)
+			e.checkEvacuations()
+		})
 	}
 	e.updateServers(e.servers.Apply(now, item.registrations), "listed so")
 }
@@ -640,7 +656,12 @@
 		e.log.Info(logger.ServerUnlisted, "server", id, "why", why)
 		e.machine.Forget(time.Now(), id)
 	}
+	e.publishServers()
+}
+
+// publishServers makes the changed list of servers known.
+func (e *engine) publishServers() {
 	e.metrics.servers.Set(float64(e.servers.UsableCount()))
-	listed := e.servers.ByDomain()
+	listed := e.servers.ReachableByDomain()
 	e.client.listed.Store(&listed)
 }
--- a/internal/forwarder/follower.go
+++ b/internal/forwarder/follower.go
@@ -27,8 +27,8 @@
 // on behalf of this host, the watcher is suspended.
 func (f *Forwarder) follow(ctx context.Context, prefix string) {
 	cfg := watcher.DefaultConfig()
-	if prefix == f.cfg.Layout.ConfigPrefix {
-		// A configuration changes seldom, and hosts that depend on this one wait for it.
+	if f.bindsPromptly(prefix) {
+		// A configuration or evacuation changes seldom, and hosts that depend on this one wait for it.
 		cfg.WatchDelay = 0
 	}
 	m := watcher.New(cfg)
@@ -64,9 +64,11 @@
 			case *watcher.Replace:
 				f.applyList(prefix, a)
 			case *watcher.Merge:
+				confirmed := time.Now()
 				f.recordConfirmation(prefix)
 				f.merge(a.Page.Objects, origin{})
 				f.objects.SetComplete(prefix, a.Page.Version)
+				f.confirmEvacuations(prefix, confirmed)
 			case *watcher.Lost:
 				f.engine.push(storeState{reachable: f.lostPrefixes.Add(1) == 0})
 				f.cfg.Logger.Warn(logger.StoreLost, "prefix", prefix, "error", a.Err)
@@ -113,8 +115,8 @@
 	}
 }
 
-// storeView returns the view of the store to use for a prefix. The configuration
-// is always read from the newest copy, as it has to be in force within seconds of
+// storeView returns the view of the store to use for a prefix. The configuration and the
+// evacuations are always read from the newest copy, as they have to be in force within seconds of
 // the operator's write. Other prefixes may be read from a lagging copy, as a draining
 // backend server goes on serving for about as long as a copy lags. Such a prefix is
 // read from the newest copy only if linearizable is set: for a list that must show
@@ -122,7 +124,7 @@
 // have stalled or because they are no longer in the store's history.
 func (f *Forwarder) storeView(prefix string, linearizable bool) storer.Store {
 	store := f.store.Load()
-	if linearizable || prefix == f.cfg.Layout.ConfigPrefix {
+	if linearizable || f.bindsPromptly(prefix) {
 		return store
 	}
 	return store.Serializable()
@@ -174,10 +176,12 @@
 	if a.Rewound {
 		f.cfg.Logger.Info(logger.StoreRelisted, "prefix", prefix, "revision", a.Page.Version, "objects", len(a.Page.Objects))
 	}
+	confirmed := time.Now()
 	f.recordConfirmation(prefix)
 	objects := slices.Concat(a.Page.Objects, f.objects.MissingFrom(prefix, a.Page))
 	f.merge(objects, origin{complete: prefix == f.cfg.Layout.ServerPrefix, afterOutage: a.Outage > 0})
 	f.objects.SetComplete(prefix, a.Page.Version)
+	f.confirmEvacuations(prefix, confirmed)
 }
 
 // recordConfirmation records that the store has just returned the current state of
@@ -209,11 +213,11 @@
 	f.apply(f.objects.Merge(objects), from)
 }
 
-// apply puts changed objects in force: the configuration, the registrations of
+// apply puts changed objects in force: the configuration, evacuations, the registrations of
 // backend servers and those of hosts.
 func (f *Forwarder) apply(objects []storer.Object, from origin) {
 	var registrations []lister.Registration
-	hosts := false
+	hosts, evacuations := false, false
 	for _, object := range objects {
 		switch {
 		case object.Key == f.cfg.Layout.ConfigKey:
@@ -222,11 +226,16 @@
 			registrations = append(registrations, f.decodeServer(object))
 		case strings.HasPrefix(object.Key, f.cfg.Layout.HostPrefix):
 			hosts = true
+		case f.isEvacuation(object.Key):
+			evacuations = true
 		}
 	}
 	if hosts {
 		f.updateHosts()
 	}
+	if evacuations {
+		f.updateEvacuations()
+	}
 	if from.complete || len(registrations) > 0 {
 		f.engine.push(&listing{registrations: registrations, origin: from})
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -107,6 +107,11 @@
 	evidenceVersion  atomic.Uint64
 	configConfirmed  atomic.Int64
 	serversConfirmed atomic.Int64
+	// evacuationsConfirmed is the same for the evacuations, known at least by the word of
+	// peers if evacuationsKnown is set; evacuationsMu serializes their application.
+	evacuationsConfirmed atomic.Int64
+	evacuationsKnown     atomic.Bool
+	evacuationsMu        sync.Mutex
 	// lastRequest is the ID given to the last request.
 	lastRequest atomic.Uint64
 	stopping    atomic.Bool
@@ -149,6 +154,9 @@
 	f.metrics.export(f)
 	f.workers.Go(func() { f.follow(ctx, cfg.Layout.ConfigPrefix) })
 	f.workers.Go(func() { f.follow(ctx, cfg.Layout.ServerPrefix) })
+	if cfg.Settings.Bounds.evacuates() {
+		f.workers.Go(func() { f.follow(ctx, cfg.Layout.EvacuationPrefix) })
+	}
 	f.workers.Go(func() { f.compareWithPeers(ctx) })
 	f.workers.Go(func() { f.registerAndList(ctx) })
 	f.workers.Go(func() { f.compareRecords(ctx) })
@@ -223,11 +231,11 @@
 }
 
 // Ready reports whether the host can serve: it has a configuration, a list of
-// backend servers and the evidence against requests, is not stopping and not partitioned.
+// backend servers, the evacuations and the evidence against requests, is not stopping and not partitioned.
 func (f *Forwarder) Ready() bool {
 	select {
 	case <-f.engine.listed:
-		return f.table.Load() != nil && f.engine.servesRequests.Load() && !f.divertsCallers()
+		return f.table.Load() != nil && f.knowsEvacuations() && f.engine.servesRequests.Load() && !f.divertsCallers()
 	default:
 		return false
 	}
@@ -249,10 +257,15 @@
 	return time.Unix(0, f.configConfirmed.Load())
 }
 
-// allConfirmedAt returns the time up to which the store has confirmed the configuration and the
-// backend servers; it is not after the Unix epoch if either was never confirmed.
+// allConfirmedAt returns the time up to which the store has confirmed the configuration, the
+// backend servers and the evacuations, if any are followed; it is not after the Unix epoch if one
+// of these was never confirmed.
 func (f *Forwarder) allConfirmedAt() time.Time {
-	return time.Unix(0, min(f.configConfirmed.Load(), f.serversConfirmed.Load()))
+	at := min(f.configConfirmed.Load(), f.serversConfirmed.Load())
+	if f.cfg.Settings.Bounds.evacuates() {
+		at = min(at, f.evacuationsConfirmed.Load())
+	}
+	return time.Unix(0, at)
 }
 
 // Close stops everything immediately and waits until it has ended. Further calls
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -88,7 +88,7 @@
 func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request) (*arrival, *classifier.Failure) {
 	a := &arrival{reply: make(chan reply, 1)}
 	table := f.table.Load()
-	if table == nil || !f.engine.servesRequests.Load() {
+	if table == nil || !f.engine.servesRequests.Load() || !f.knowsEvacuations() {
 		return a, classifier.NewFailure(classifier.NotConfigured, "").WithRetryAfter(transientRetryAfter)
 	}
 	call, err := f.cfg.Dialect.Call(r)
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -352,6 +352,9 @@
 	}
 	f.merge(comparison.Newer, origin{complete: comparison.Complete && f.holdsServers(comparison.Newer), afterOutage: f.lostPrefixes.Load() > 0})
 	f.apply(comparison.Deleted, origin{})
+	if comparison.Complete && (comparison.AgeKnown || f.lostPrefixes.Load() > 0) {
+		f.evacuationsKnown.Store(true)
+	}
 	if !comparison.AgeKnown || !comparison.Complete {
 		return comparison.AgeKnown
 	}
@@ -360,6 +363,7 @@
 	f.sourceMu.Unlock()
 	advance(&f.configConfirmed, begun.Add(-comparison.Age))
 	advance(&f.serversConfirmed, begun.Add(-comparison.Age))
+	advance(&f.evacuationsConfirmed, begun.Add(-comparison.Age))
 	return true
 }
 
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -77,11 +77,13 @@
 }
 
 // Bounds are the times within which a change has to be in force on all hosts after the store has
-// acknowledged it, DefaultBound if they are 0.
+// acknowledged it; ConfigApply and Drain are DefaultBound if they are 0.
 type Bounds struct {
 	// ConfigApply is that of a configuration, Drain that of a backend server that drains.
 	ConfigApply decoder.Duration `json:"configApply"`
 	Drain       decoder.Duration `json:"drain"`
+	// Evacuate is that of an evacuation of a failure domain; 0 if there are none.
+	Evacuate decoder.Duration `json:"evacuate"`
 }
 
 const (
@@ -91,7 +93,7 @@
 	minBound = time.Second
 )
 
-// least returns the shorter of the bounds.
+// least returns the shortest of the bounds.
 func (b Bounds) least() time.Duration {
 	least := time.Duration(0)
 	for _, bound := range []time.Duration{b.ConfigApply.Value(), b.Drain.Value()} {
@@ -102,13 +104,23 @@
 			least = bound
 		}
 	}
+	if b.evacuates() {
+		least = min(least, b.Evacuate.Value())
+	}
 	return least
 }
 
+// evacuates reports whether failure domains may be evacuated.
+func (b Bounds) evacuates() bool {
+	return b.Evacuate.Value() > 0
+}
+
 // check records bounds that can't be kept.
 func (b Bounds) check(c *settingsChecker) {
 	c.requireBound(b.ConfigApply, "configApply")
 	c.requireBound(b.Drain, "drain")
+	c.require(b.Evacuate.Value() == 0 || b.Evacuate.Value() >= minBound, "a bound of "+b.Evacuate.Value().String()+" can't be kept",
+		fmt.Sprintf("%v or more, 0s if there are no evacuations", minBound), "bounds", "evacuate")
 }
 
 func (c *settingsChecker) requireBound(bound decoder.Duration, field string) {
--- a/internal/forwarder/types.go
+++ b/internal/forwarder/types.go
@@ -119,6 +119,8 @@
 	// EvidencePrefix is the prefix of what each host keeps of the requests under which
 	// servers have ended.
 	EvidencePrefix string
+	// EvacuationPrefix is the prefix of the operators' evacuations, each named by its failure domain.
+	EvacuationPrefix string
 }
 
 // whole reports whether there is an answer of a peer that served the whole request.
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -88,6 +88,9 @@
 	VerdictDecided       Event = 554
 	EvidenceUnsaved      Event = 555
 	EvidenceUnread       Event = 556
+	EvacuationBegun      Event = 590
+	EvacuationEnded      Event = 591
+	EvacuationUnknown    Event = 592
 )
 
 // Definition describes one log event.
@@ -165,6 +168,9 @@
 	{VerdictDecided, "verdictDecided", "An operator has lifted the verdict on a request, or blocked the request."},
 	{EvidenceUnsaved, "evidenceUnsaved", "The evidence of this host against requests could not be written to the store; it is written again."},
 	{EvidenceUnread, "evidenceUnread", "Evidence against requests could not be read from the store; the rest is used."},
+	{EvacuationBegun, "evacuationBegun", "The operators have a failure domain evacuated: this host sends nothing more to the backend servers there."},
+	{EvacuationEnded, "evacuationEnded", "The evacuation of a failure domain was taken back; its backend servers may get requests again."},
+	{EvacuationUnknown, "evacuationUnknown", "No backend server is registered in a failure domain that is to be evacuated; its name may be wrong."},
 }
 
 // Catalogue returns the definitions of all log events in ascending order.
--- a/pkg/coordination/detector/detector.go
+++ b/pkg/coordination/detector/detector.go
@@ -41,7 +41,7 @@
 	}
 }
 
-// Directory lists the backend servers by failure domain.
+// Directory lists the backend servers that may get requests by failure domain.
 type Directory interface {
 	Domains() []string
 	InDomain(domain string) []*lister.Server
@@ -307,8 +307,13 @@
 func (d *Detector) ProbeEnded(now time.Time, domain string, result ProbeResult) (Change, bool) {
 	state := d.domain(domain)
 	state.probing = false
+	servers := d.directory.InDomain(domain)
+	if len(servers) == 0 && result != Connected {
+		// Its servers are gone or evacuated, so nothing is to be reached there.
+		return Change{}, false
+	}
 	stalled := now.Sub(state.probedAt) > 2*d.cfg.ProbeTimeout
-	refused := result == Refused || state.refused(d.cfg, d.directory.InDomain(domain))
+	refused := result == Refused || state.refused(d.cfg, servers)
 	switch {
 	case result == Connected:
 		state.responded(now)
--- a/pkg/state/lister/lister.go
+++ b/pkg/state/lister/lister.go
@@ -86,8 +86,12 @@
 	records map[string]*record
 	// services holds the servers of each service that may get new requests, sorted by ID.
 	services map[string][]*Server
-	// domains holds the same servers by failure domain, also sorted by ID.
-	domains map[string][]*Server
+	// domains holds the same servers by failure domain, also sorted by ID; reachable also holds
+	// those of evacuated failure domains.
+	domains   map[string][]*Server
+	reachable map[string][]*Server
+	// evacuated has the failure domains whose servers get no new requests. It is never modified.
+	evacuated map[string]bool
 	// lapseUntil is the time until which a removal counts as a lapse caused by an outage.
 	lapseUntil time.Time
 }
@@ -213,6 +217,30 @@
 	return *before != *after
 }
 
+// SetEvacuated sets the failure domains whose servers get no new requests until they are no longer
+// among them. It returns the IDs of the servers that became usable or unusable, in order.
+func (l *Lister) SetEvacuated(domains []string) []string {
+	before := l.evacuated
+	l.evacuated = make(map[string]bool, len(domains))
+	for _, domain := range domains {
+		l.evacuated[domain] = true
+	}
+	var changed []string
+	for id, r := range l.records {
+		if r.usable() && before[r.server.Domain] != l.evacuated[r.server.Domain] {
+			changed = append(changed, id)
+		}
+	}
+	slices.Sort(changed)
+	l.rebuild(len(changed) > 0)
+	return changed
+}
+
+// Evacuated reports whether the servers of a failure domain get no new requests.
+func (l *Lister) Evacuated(domain string) bool {
+	return l.evacuated[domain]
+}
+
 // Expire removes the servers whose retention has ended, admits those whose
 // quarantine has ended, and returns the IDs of the servers that became usable or unusable.
 func (l *Lister) Expire(now time.Time) []string {
@@ -243,15 +271,21 @@
 	}
 	services := make(map[string][]*Server, len(l.services))
 	domains := make(map[string][]*Server, len(l.domains))
+	reachable := make(map[string][]*Server, len(l.reachable))
 	for _, r := range l.records {
-		if r.usable() {
+		if !r.usable() {
+			continue
+		}
+		reachable[r.server.Domain] = append(reachable[r.server.Domain], r.server)
+		if !l.evacuated[r.server.Domain] {
 			services[r.server.Service] = append(services[r.server.Service], r.server)
 			domains[r.server.Domain] = append(domains[r.server.Domain], r.server)
 		}
 	}
 	sortByID(services)
 	sortByID(domains)
-	l.services, l.domains = services, domains
+	sortByID(reachable)
+	l.services, l.domains, l.reachable = services, domains, reachable
 }
 
 func sortByID(groups map[string][]*Server) {
@@ -271,12 +305,13 @@
 	return l.domains[domain]
 }
 
-// ByDomain returns the same servers of all failure domains. The map is never modified.
-func (l *Lister) ByDomain() map[string][]*Server {
-	return l.domains
+// ReachableByDomain returns the servers of all failure domains that may get new requests or would
+// get them if their domain weren't evacuated. The map is never modified.
+func (l *Lister) ReachableByDomain() map[string][]*Server {
+	return l.reachable
 }
 
-// Domains returns the failure domains that have such servers, in alphabetical order.
+// Domains returns the failure domains that have servers which may get new requests, in alphabetical order.
 func (l *Lister) Domains() []string {
 	return slices.Sorted(maps.Keys(l.domains))
 }
@@ -293,5 +328,5 @@
 // IsUsable reports whether a server may get new requests.
 func (l *Lister) IsUsable(id string) bool {
 	r := l.records[id]
-	return r != nil && r.usable()
+	return r != nil && r.usable() && !l.evacuated[r.server.Domain]
 }
--- a/pkg/state/lister/lister_test.go
+++ b/pkg/state/lister/lister_test.go
@@ -187,3 +187,28 @@
 	l.Apply(start, []Registration{inEra(t, 1, restarted)})
 	is.True(l.IsUsable("a"))
 }
+
+func TestEvacuatedServersGetNoRequests(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{Retention: testRetention})
+	far := live("c", 3)
+	far.Server.Domain = "e"
+	l.Apply(start, []Registration{live("a", 1), draining("b", 2), far})
+	is.Equal(l.SetEvacuated([]string{"e", "unknown"}), []string{"c"})
+	is.Equal(len(l.Servers("s")), 1)
+	is.Equal(l.Domains(), []string{"d"})
+	is.Equal(len(l.InDomain("e")), 0)
+	is.Equal(len(l.ReachableByDomain()["e"]), 1)
+	is.True(!l.IsUsable("c"))
+
+	// A server that is registered meanwhile, or has changed, gets none either.
+	moved := live("a", 4)
+	moved.Server.Domain = "e"
+	is.Equal(l.Apply(start, []Registration{moved}), []string{"a"})
+	is.Equal(l.UsableCount(), 0)
+	is.Equal(len(l.SetEvacuated([]string{"e"})), 0)
+
+	is.Equal(l.SetEvacuated([]string{"d"}), []string{"a", "c"})
+	is.Equal(len(l.Servers("s")), 2)
+	is.True(!l.Evacuated("e"))
+}
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -211,6 +211,7 @@
 		"{{listen_addrs.control|json}}", strconv.Quote(control), "{{ip}}", ip, "{{seeds|json}}", "["+seeds+"]",
 		"{{bootstrap|json}}", "true", "{{platform.address|json}}", strconv.Quote(s.store.Address()),
 		"{{bounds.retry_ratio}}", "0.2", "{{bounds.retry_slack}}", "56", "{{bounds.retry_window_s}}", "10", "{{bounds.grace_s}}", "6",
+		"{{#bounds.evacuate_ms}}", "", "{{bounds.evacuate_ms}}", "5000", "{{/bounds.evacuate_ms}}", "",
 	).Replace(template)
 }
 
