pkg/coordination/allotter: cold servers keep to their service's warm-up rate over all hosts

Each ask tells the rate and the time left, so the host that allots needs no registration. Only services with warmup_per_s above 0.

--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -28,6 +28,7 @@
 	pauses      *metrics.Counter
 	limited     *metrics.Gauge
 	evacuated   *metrics.Gauge
+	cold        *metrics.Gauge
 	unreachable *metrics.Gauge
 	suspected   *metrics.Gauge
 	blocked     *metrics.Gauge
@@ -49,6 +50,7 @@
 		pauses:      set.NewCounter("rhubarbpost_server_pauses_total"),
 		limited:     set.NewGauge("rhubarbpost_servers_limited", nil),
 		evacuated:   set.NewGauge("rhubarbpost_domains_evacuated", nil),
+		cold:        set.NewGauge("rhubarbpost_servers_cold", nil),
 		unreachable: set.NewGauge("rhubarbpost_domains_unreachable", nil),
 		suspected:   set.NewGauge("rhubarbpost_requests_suspected", nil),
 		blocked:     set.NewGauge("rhubarbpost_requests_blocked", nil),
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -177,8 +177,10 @@
 	servers *lister.Lister
 	// evacuated has the evacuated failure domains with the times at which this host learnt so.
 	evacuated map[string]time.Time
-	assessor  *assessor.Assessor
-	notReady  atomic.Bool
+	// warmupRates has the warm-up rates by service.
+	warmupRates map[string]float64
+	assessor    *assessor.Assessor
+	notReady    atomic.Bool
 	// isolated is true while no backend server can be reached, partitioned while the host is
 	// not ready since it reaches the store neither.
 	isolated    atomic.Bool
@@ -293,6 +295,7 @@
 			e.updateServers(e.servers.Expire(time.Now()), "lapsed")
 			e.metrics.updateBudget(e.machine)
 			e.machine.Vetter().Expire(time.Now())
+			e.expireWarmups(time.Now())
 		case <-assessment.C:
 			e.assess(time.Now())
 			e.askForTokens(time.Now())
@@ -334,7 +337,7 @@
 		e.abandoned(now, item)
 	case confirmation:
 		e.act(e.machine.Step(now, &scatterer.Confirmed{Request: item.id}))
-	case *listing, evacuationsChange:
+	case *listing, evacuationsChange, warmupRates:
 		e.stepServers(now, item)
 	case storeState, peersProbed, peerNotReady, delegationEnd:
 		e.stepAssessor(now, item)
@@ -627,6 +630,8 @@
 		e.applyListing(now, item)
 	case evacuationsChange:
 		e.applyEvacuations(now, item)
+	case warmupRates:
+		e.applyWarmupRates(now, item)
 	}
 }
 
@@ -651,6 +656,7 @@
 		if e.servers.IsUsable(id) {
 			e.log.Debug(logger.ServerListed, "server", id)
 			e.machine.RegistrationChanged(id)
+			e.updateWarmup(time.Now(), id, why)
 			continue
 		}
 		e.log.Info(logger.ServerUnlisted, "server", id, "why", why)
--- a/internal/forwarder/evacuations.go
+++ b/internal/forwarder/evacuations.go
@@ -65,6 +65,8 @@
 	for _, id := range changed {
 		if e.servers.IsUsable(id) {
 			e.machine.RegistrationChanged(id)
+			e.servers.AssumeCold(id, now.Add(returnTime))
+			e.updateWarmup(now, id, "evacuation")
 		} else {
 			e.machine.Forget(now, id)
 		}
--- a/internal/forwarder/follower.go
+++ b/internal/forwarder/follower.go
@@ -275,6 +275,7 @@
 		return
 	}
 	f.table.Store(table)
+	f.engine.push(warmupRates{table.WarmupRates()})
 	f.metrics.version.Set(float64(table.Version()))
 	f.cfg.Logger.Info(logger.RoutesAdopted, "version", table.Version(), "revision", table.Revision(), "routes", table.RouteCount())
 }
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -91,6 +91,7 @@
 	EvacuationBegun      Event = 590
 	EvacuationEnded      Event = 591
 	EvacuationUnknown    Event = 592
+	WarmupBegun          Event = 593
 )
 
 // Definition describes one log event.
@@ -171,6 +172,7 @@
 	{EvacuationBegun, "evacuationBegun", "The operators have a failure domain evacuated: this host sends nothing more to the backend servers there."},
 	{EvacuationEnded, "evacuationEnded", "The evacuation of a failure domain was taken back; its backend servers may get requests again."},
 	{EvacuationUnknown, "evacuationUnknown", "No backend server is registered in a failure domain that is to be evacuated; its name may be wrong."},
+	{WarmupBegun, "warmupBegun", "A backend server is cold: until it has warmed up, all hosts together keep to the rate that its service allows for that."},
 }
 
 // Catalogue returns the definitions of all log events in ascending order.
--- a/pkg/coordination/allotter/allotter.go
+++ b/pkg/coordination/allotter/allotter.go
@@ -30,6 +30,8 @@
 	unaskedTime = 2 * AskInterval
 	// poolLife is how long an unused pool is kept.
 	poolLife = 30 * time.Second
+	// maxWarmup bounds the warm-up that a host may tell.
+	maxWarmup = 24 * time.Hour
 )
 
 // demand is a count of wanted requests that decays with demandTime.
@@ -55,8 +57,11 @@
 
 // pool has the tokens of one server that are not allotted yet.
 type pool struct {
-	limit      Limit
-	heardAt    time.Time
+	limit   Limit
+	heardAt time.Time
+	// warmup is the limit while the server warms up, until warmUntil.
+	warmup     Limit
+	warmUntil  time.Time
 	settledAt  time.Time
 	tokens     float64
 	refilledAt time.Time
@@ -65,11 +70,27 @@
 	askers map[string]*asker
 }
 
+// bound returns the limit in force.
+func (p *pool) bound() Limit {
+	return lower(p.limit, p.warmup)
+}
+
+// warm applies what an ask tells of the warm-up of the server.
+func (p *pool) warm(now time.Time, ask Ask) {
+	if p.warmup.Stated && !now.Before(p.warmUntil) {
+		p.warmup = Limit{}
+	}
+	if ask.WarmupMillis > 0 {
+		p.warmup = Limit{Stated: true, Rate: max(ask.WarmupRate, 0)}
+		p.warmUntil = now.Add(time.Duration(min(ask.WarmupMillis, maxWarmup.Milliseconds())) * time.Millisecond)
+	}
+}
+
 // refill adds the tokens for the time since the last refill.
 func (p *pool) refill(now time.Time) {
 	gained := now.Sub(p.refilledAt)
 	unsettled := min(gained, max(p.settledAt.Sub(p.refilledAt), 0))
-	p.tokens += p.limit.rate() * (gained - unsettled/2).Seconds()
+	p.tokens += p.bound().rate() * (gained - unsettled/2).Seconds()
 	p.refilledAt = now
 }
 
@@ -81,7 +102,7 @@
 
 // depth returns the number of tokens that the pool holds at most.
 func (p *pool) depth() float64 {
-	return max(minDepth, p.limit.rate()*poolTime.Seconds())
+	return max(minDepth, p.bound().rate()*poolTime.Seconds())
 }
 
 // Allotter allots the tokens of the servers for which its host is responsible.
@@ -133,6 +154,7 @@
 	if now.Sub(p.refilledAt) > unaskedTime {
 		p.settle(now)
 	}
+	p.warm(now, ask)
 	p.refill(now)
 	heardAt := now.Add(-time.Duration(ask.AgeMillis) * time.Millisecond)
 	if heardAt.After(p.heardAt) {
@@ -144,7 +166,7 @@
 
 func (p *pool) allot(now time.Time, host string, ask Ask) Grant {
 	g := Grant{Incarnation: ask.Incarnation, Urgent: ask.Urgent, Limit: p.limit, AgeMillis: now.Sub(p.heardAt).Milliseconds()}
-	if !p.limit.Stated {
+	if !p.bound().Stated {
 		return g
 	}
 	h := p.askers[host]
@@ -153,7 +175,7 @@
 		p.askers[host] = h
 	}
 	since := now.Sub(h.at).Seconds()
-	rate, share, total := p.limit.rate(), h.add(now, ask.Wanted), p.demand.add(now, ask.Wanted)
+	rate, share, total := p.bound().rate(), h.add(now, ask.Wanted), p.demand.add(now, ask.Wanted)
 	scarce := total > rate
 	if scarce {
 		share *= rate / total
@@ -181,7 +203,7 @@
 
 // wait returns the seconds until the pool has a token.
 func (p *pool) wait(now time.Time) float64 {
-	needed := max(0, (1-p.tokens)/p.limit.rate())
+	needed := max(0, (1-p.tokens)/p.bound().rate())
 	return needed + min(needed, max(0, p.settledAt.Sub(now).Seconds()/2))
 }
 
--- a/pkg/coordination/allotter/fleet_test.go
+++ b/pkg/coordination/allotter/fleet_test.go
@@ -159,10 +159,13 @@
 }
 
 // most returns the greatest number of requests in any ruleSpan.
-func most(sent []time.Time) int {
+func most(sent []time.Time) int { return mostIn(sent, ruleSpan) }
+
+// mostIn returns the greatest number of requests in any span.
+func mostIn(sent []time.Time, span time.Duration) int {
 	best, first := 0, 0
 	for last, at := range sent {
-		for at.Sub(sent[first]) > ruleSpan {
+		for at.Sub(sent[first]) > span {
 			first++
 		}
 		best = max(best, last-first+1)
--- a/pkg/coordination/allotter/ledger.go
+++ b/pkg/coordination/allotter/ledger.go
@@ -66,6 +66,14 @@
 	unallotted      float64
 	// unreadable means that the server announces a limit that can't be read.
 	unreadable bool
+	// warmup is the limit while the server warms up, until warmUntil.
+	warmup    Limit
+	warmUntil time.Time
+}
+
+// bound returns the limit in force.
+func (a *account) bound() Limit {
+	return lower(a.limit, a.warmup)
 }
 
 // Ledger holds the limits of the servers that a host uses, and its tokens for them.
@@ -73,8 +81,9 @@
 	// hosts is the number of hosts that share the limits.
 	hosts    int
 	accounts map[string]*account
-	// limited is the number of accounts with a limit.
+	// limited is the number of accounts with a limit, warming that of those whose servers warm up.
 	limited int
+	warming int
 }
 
 // NewLedger returns a ledger without limits for a host that assumes a number of hosts.
@@ -134,7 +143,7 @@
 // the server has none.
 func (l *Ledger) Announced(server Incarnation) (limit Limit, heardAt time.Time, ok bool) {
 	a := l.limitedAccount(server)
-	if a == nil {
+	if a == nil || !a.limit.Stated {
 		return Limit{}, time.Time{}, false
 	}
 	return a.limit, a.heardAt, true
@@ -157,7 +166,7 @@
 // set replaces the limit of an account by one that the server announced at heardAt.
 func (l *Ledger) set(now time.Time, a *account, limit Limit, heardAt time.Time) (Change, Usage) {
 	usage := Usage{Limit: a.limit, Attempts: a.attempts, For: now.Sub(a.since)}
-	change := changeOf(a.limit, limit)
+	change, bounded := changeOf(a.limit, limit), a.bound().Stated
 	a.limit, a.heardAt, a.unreadable = limit, heardAt, false
 	if change != Unchanged {
 		a.deniedAt = time.Time{}
@@ -167,14 +176,11 @@
 	}
 	switch change {
 	case Started:
-		l.limited++
 		a.since, a.attempts = now, 0
 		// The first request that finds no token need not wait for its own ask.
 		a.wanted = 1
 		usage = Usage{}
 	case Ended:
-		l.limited--
-		a.wanted, a.returning, a.batches, a.unallottedSince = 0, 0, nil, time.Time{}
 	case Changed:
 		if limit.Rate < usage.Limit.Rate {
 			// What was gained under the greater limit is more than this one allows.
@@ -182,22 +188,37 @@
 		}
 	case Unchanged:
 	}
+	l.count(a, bounded)
 	return change, usage
 }
 
+// count counts an account that has got its first limit or lost its last one.
+func (l *Ledger) count(a *account, bounded bool) {
+	switch {
+	case !bounded && a.bound().Stated:
+		l.limited++
+	case bounded && !a.bound().Stated:
+		l.limited--
+		a.wanted, a.returning, a.batches, a.unallottedSince = 0, 0, nil, time.Time{}
+	}
+}
+
 // Forget drops what is known of a server.
 func (l *Ledger) Forget(server string) {
 	a := l.accounts[server]
-	if a != nil && a.limit.Stated {
+	if a != nil && a.bound().Stated {
 		l.limited--
 	}
+	if a != nil && a.warmup.Stated {
+		l.warming--
+	}
 	delete(l.accounts, server)
 }
 
 // limitedAccount returns the account of a server, nil if it has no limit.
 func (l *Ledger) limitedAccount(server Incarnation) *account {
 	a := l.accounts[server.Server]
-	if a == nil || a.incarnation != server || !a.limit.Stated {
+	if a == nil || a.incarnation != server || !a.bound().Stated {
 		return nil
 	}
 	return a
@@ -250,7 +271,7 @@
 	if a.unallottedSince.IsZero() {
 		return n
 	}
-	rate := a.limit.rate() * unallottedShare / float64(l.hosts)
+	rate := a.bound().rate() * unallottedShare / float64(l.hosts)
 	a.unallotted = min(1, a.unallotted+rate*now.Sub(a.unallottedSince).Seconds())
 	a.unallottedSince = now
 	return n + int(a.unallotted)
@@ -295,7 +316,7 @@
 	case a.unallottedSince.IsZero():
 		return max(a.nextTokenAt.Sub(now), 0)
 	}
-	rate := a.limit.rate() * unallottedShare / float64(l.hosts)
+	rate := a.bound().rate() * unallottedShare / float64(l.hosts)
 	return time.Duration((1 - a.unallotted) / rate * float64(time.Second))
 }
 
@@ -307,6 +328,9 @@
 // expired reports whether nothing is left to remember of a server.
 func (a *account) expired(now time.Time) bool {
 	life := accountLife
+	if a.warmup.Stated {
+		return false
+	}
 	if !a.limit.Stated && !a.unreadable {
 		life = endReportTime
 	}
@@ -324,7 +348,7 @@
 	if a.outstanding(now) {
 		return false
 	}
-	ended := !a.limit.Stated && !a.unreadable
+	ended := !a.bound().Stated && !a.unreadable
 	return a.returning > 0 || (a.urgent && a.mayAskUrgently(now)) || ((a.wanted > 0 || ended) && now.Sub(a.askedAt) >= AskInterval)
 }
 
@@ -341,6 +365,7 @@
 		}
 		asks = append(asks, Ask{
 			Incarnation: a.incarnation, Limit: a.limit, AgeMillis: now.Sub(a.heardAt).Milliseconds(), Wanted: a.wanted, Urgent: a.urgent, Returned: a.returning, Held: l.tokens(now, a),
+			WarmupRate: a.warmup.Rate, WarmupMillis: a.warmupLeft(now).Milliseconds(),
 		})
 		a.wanted, a.urgent, a.returning, a.askedAt, a.asking = 0, false, 0, now, true
 	}
@@ -377,7 +402,7 @@
 		if g.Urgent && g.Tokens == 0 {
 			a.deniedAt = now
 		}
-		if g.Tokens > 0 && a.limit.Stated {
+		if g.Tokens > 0 && a.bound().Stated {
 			a.batches = append(a.batches, batch{g.Tokens, now.Add(tokenLife), g.Urgent})
 		}
 	}
@@ -392,7 +417,7 @@
 			continue
 		}
 		a.asking = false
-		if a.limit.Stated && a.unallottedSince.IsZero() {
+		if a.bound().Stated && a.unallottedSince.IsZero() {
 			a.unallottedSince = now.Add(-AskInterval)
 		}
 	}
--- a/pkg/coordination/allotter/limit.go
+++ b/pkg/coordination/allotter/limit.go
@@ -17,6 +17,14 @@
 	return max(l.Rate, probeRate)
 }
 
+// lower returns the lower one of two limits.
+func lower(a, b Limit) Limit {
+	if !a.Stated || (b.Stated && b.Rate < a.Rate) {
+		return b
+	}
+	return a
+}
+
 // Incarnation identifies one run of a backend server.
 type Incarnation struct {
 	Server          string `json:"server"`
@@ -39,6 +47,9 @@
 	Returned int `json:"returned,omitempty"`
 	// Held is the number of tokens that the host has left.
 	Held int `json:"held"`
+	// WarmupRate bounds the limit for WarmupMillis more, while the server warms up.
+	WarmupRate   float64 `json:"warmupPerSecond,omitempty"`
+	WarmupMillis int64   `json:"warmupMillis,omitempty"`
 }
 
 // Grant is the answer to an Ask.
--- a/pkg/coordination/scatterer/limits.go
+++ b/pkg/coordination/scatterer/limits.go
@@ -48,7 +48,23 @@
 	return m.limits.RejectLimit(now, incarnation(server))
 }
 
-// LimitedServers returns the number of servers that have announced a limit.
+// Warmup records that a server warms up for a time, in which it takes a rate of requests a second from
+// all hosts together, and reports whether that is new. A rate or time of 0 ends it.
+func (m *Machine) Warmup(now time.Time, server *lister.Server, rate float64, left time.Duration) bool {
+	return m.limits.Warmup(now, incarnation(server), rate, left)
+}
+
+// ExpireWarmups ends the warm-ups whose time is over.
+func (m *Machine) ExpireWarmups(now time.Time) {
+	m.limits.ExpireWarmups(now)
+}
+
+// WarmingServers returns the number of servers that warm up and have a rate for it.
+func (m *Machine) WarmingServers() int {
+	return m.limits.Warming()
+}
+
+// LimitedServers returns the number of servers that have announced a limit or warm up.
 func (m *Machine) LimitedServers() int {
 	return m.limits.Len()
 }
--- a/pkg/state/lister/lister.go
+++ b/pkg/state/lister/lister.go
@@ -59,6 +59,8 @@
 	ended *endedIncarnation
 	// quarantinedUntil is the end of the quarantine, zero without one.
 	quarantinedUntil time.Time
+	// coldUntil is when the server has warmed up, zero or past if it has.
+	coldUntil time.Time
 }
 
 // endReason is the way in which an incarnation of a server became unusable.
@@ -157,7 +159,10 @@
 	before := r.server
 	r.server = registration.Server
 	r.recordEnd(before)
-	r.quarantinedUntil = time.Time{}
+	r.quarantinedUntil, r.coldUntil = time.Time{}, time.Time{}
+	if r.server != nil && r.server.WarmupRemaining > 0 {
+		r.coldUntil = now.Add(r.server.WarmupRemaining)
+	}
 	switch {
 	case r.server == nil || r.server.Draining:
 	case !rewound && r.hasEnded(r.server, drained):
@@ -241,6 +246,35 @@
 	return l.evacuated[domain]
 }
 
+// Cold returns the servers that have not warmed up, in the order of their IDs.
+func (l *Lister) Cold(now time.Time) []*Server {
+	var cold []*Server
+	for _, r := range l.records {
+		if r.server != nil && now.Before(r.coldUntil) {
+			cold = append(cold, r.server)
+		}
+	}
+	slices.SortFunc(cold, func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
+	return cold
+}
+
+// Warming returns a server with the time until it has warmed up, 0 if it has.
+func (l *Lister) Warming(now time.Time, id string) (*Server, time.Duration) {
+	r := l.records[id]
+	if r == nil || r.server == nil {
+		return nil, 0
+	}
+	return r.server, max(r.coldUntil.Sub(now), 0)
+}
+
+// AssumeCold makes a server count as cold for a time at least, unless its registration changes.
+func (l *Lister) AssumeCold(id string, until time.Time) {
+	r := l.records[id]
+	if r != nil && until.After(r.coldUntil) {
+		r.coldUntil = until
+	}
+}
+
 // Expire removes the servers whose retention has ended, admits those whose
 // quarantine has ended, and returns the IDs of the servers that became usable or unusable.
 func (l *Lister) Expire(now time.Time) []string {
--- a/pkg/state/matcher/matcher.go
+++ b/pkg/state/matcher/matcher.go
@@ -90,6 +90,9 @@
 	// MaxConnections is the number of connections that one backend server accepts from
 	// all hosts together.
 	MaxConnections int
+	// WarmupRate is the number of requests a second that one of its backend servers takes from
+	// all hosts together while it warms up; 0 means that there is no bound.
+	WarmupRate float64
 }
 
 // Limits holds the limits on the size and timing of callers' requests; zero means no limit.
@@ -210,6 +213,17 @@
 	return service, ok
 }
 
+// WarmupRates returns the warm-up rates of the services that have one.
+func (t *Table) WarmupRates() map[string]float64 {
+	rates := make(map[string]float64)
+	for name, service := range t.services {
+		if service.WarmupRate > 0 {
+			rates[name] = service.WarmupRate
+		}
+	}
+	return rates
+}
+
 // Revision returns the version that the store assigned to the configuration.
 func (t *Table) Revision() storer.Version { return t.cfg.Revision }
 
