--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -92,6 +92,7 @@
 	EvacuationEnded      Event = 591
 	EvacuationUnknown    Event = 592
 	WarmupBegun          Event = 593
+	KeyWithdrawn         Event = 560
 )
 
 // Definition describes one log event.
@@ -173,6 +174,7 @@
 	{EvacuationEnded, "evacuationEnded", "The evacuation of a failure domain was taken back; its backend servers may get requests again."},
 	{EvacuationUnknown, "evacuationUnknown", "No backend server is registered in a failure domain that is to be evacuated; its name may be wrong."},
 	{WarmupBegun, "warmupBegun", "A backend server is cold: until it has warmed up, all hosts together keep to the rate that its service allows for that."},
+	{KeyWithdrawn, "keyWithdrawn", "A newer configuration has taken away the key of a request in flight, which is sent to no further server; the line has the version by which it was accepted."},
 }
 
 // Catalogue returns the definitions of all log events in ascending order.
