internal/forwarder: requests stay in the regions of their route and organisation

Change: the host that takes a request derives the failure domains in which it may be served from the settings (region, regions); the scatterer chooses among the servers there for first attempts, hedges, retries and slices. Delegated queries and relays leave out hosts that are neither there nor in the region of this host; a peer derives the domains again. An unknown region is logged with its place. Nothing is computed without regions.

--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -261,9 +261,10 @@
 		return false
 	}
 	arrived, callerTimeLeft := time.Now(), a.call.Remaining
+	foreign := f.foreignHosts(a)
 	var tried []string
 	for declined := 0; len(tried)-declined < maxDelegationAttempts && declined < maxDeclines; {
-		host := f.delegate.choose(f.self(), connections, tried, a.route.Objective)
+		host := f.delegate.choose(f.self(), connections, slices.Concat(foreign, tried), a.route.Objective)
 		if host == nil {
 			return false
 		}
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -77,6 +77,8 @@
 	// has sent it on.
 	delegated bool
 	relay     relayTerms
+	// domains has the failure domains whose servers may run the request, nil for all.
+	domains map[string]bool
 	// received is when the request was received, expires when the caller no longer waits.
 	received time.Time
 	expires  time.Time
@@ -317,7 +319,7 @@
 		e.answers[item.id] = make(map[uint64]*Answer)
 		e.act(e.machine.Step(now, &scatterer.Arrived{
 			Request: item.id, Route: item.route, CallerTimeLeft: item.call.Remaining, ObjectiveSpent: item.objectiveSpent, BudgetShare: item.budgetShare, Slice: item.slice, Unconfirmed: item.unconfirmed,
-			Forwarded: item.delegated, MaxAttempts: item.relay.maxAttempts, Repeat: item.relay.repeat,
+			Forwarded: item.delegated, Domains: item.domains, MaxAttempts: item.relay.maxAttempts, Repeat: item.relay.repeat,
 			Fingerprint: item.fingerprint, Method: item.outbound.method, Target: item.outbound.url.RequestURI(),
 		}))
 	case attemptEnd:
@@ -338,8 +340,8 @@
 		e.abandoned(now, item)
 	case confirmation:
 		e.act(e.machine.Step(now, &scatterer.Confirmed{Request: item.id}))
-	case *listing, evacuationsChange, warmupRates:
-		e.stepServers(now, item)
+	case *listing, evacuationsChange, tableChanged:
+		e.stepObjects(now, item)
 	case storeState, peersProbed, peerNotReady, delegationEnd:
 		e.stepAssessor(now, item)
 	case drainNotice:
@@ -352,8 +354,6 @@
 		e.stepVetting(now, item)
 	case evidenceWritten, evidenceLost:
 		e.stepEvidence(now, item)
-	case tableChanged:
-		e.withdrawKeys(now, item.table)
 	case policyChange:
 		e.machine.Reconfigure(item.cfg)
 	case requestsEnd:
@@ -630,15 +630,16 @@
 	delete(e.answers, id)
 }
 
-// stepServers handles the events that concern the list of backend servers.
-func (e *engine) stepServers(now time.Time, item event) {
+// stepObjects handles the events that follow from changed objects of the store.
+func (e *engine) stepObjects(now time.Time, item event) {
 	switch item := item.(type) {
 	case *listing:
 		e.applyListing(now, item)
 	case evacuationsChange:
 		e.applyEvacuations(now, item)
-	case warmupRates:
-		e.applyWarmupRates(now, item)
+	case tableChanged:
+		e.withdrawKeys(now, item.table)
+		e.applyWarmupRates(now, item.table.WarmupRates())
 	}
 }
 
--- a/internal/forwarder/follower.go
+++ b/internal/forwarder/follower.go
@@ -275,7 +275,7 @@
 		return
 	}
 	f.table.Store(table)
-	f.engine.push(warmupRates{table.WarmupRates()})
+	f.checkRegions(table)
 	f.engine.push(tableChanged{table})
 	f.metrics.version.Set(float64(table.Version()))
 	f.metrics.organisations.Set(float64(table.OrganisationCount()))
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -117,6 +117,7 @@
 	if failure != nil {
 		return a, failure
 	}
+	f.setHomes(a)
 	body, failure := f.readBody(w, r, table.Limits().BodyBytes, call.Remaining)
 	if failure != nil {
 		return a, failure
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -70,9 +71,10 @@
 	left := time.Until(s.Deadline)
 	receipt := min(max(time.Duration(relayReceiptShare*float64(left)), relayReceiptMin), relayReceiptMax)
 	err := errNoPeer
+	foreign := f.foreignHosts(r)
 	var tried []string
 	for len(tried) < maxRelayPeers && time.Since(begun) <= time.Duration(relaySearchShare*float64(left)) {
-		peer, ok := f.choosePeer(r.route, tried, strict)
+		peer, ok := f.choosePeer(r.route, slices.Concat(foreign, tried), strict)
 		if !ok {
 			break
 		}
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -51,6 +51,9 @@
 	// Name is the name of the host and Domain that of its failure domain.
 	Name   string `json:"name"`
 	Domain string `json:"domain"`
+	// Region is that of the failure domain, and Regions the region of each domain.
+	Region  string            `json:"region"`
+	Regions map[string]string `json:"regions"`
 	// Capacity is the host's processor capacity in cores.
 	Capacity float64 `json:"capacity"`
 	// Link is the bandwidth of the host's link in Mbit/s, 0 if unknown.
--- a/internal/forwarder/warmup.go
+++ b/internal/forwarder/warmup.go
@@ -10,18 +10,12 @@
 // as a copy of the store may lag by seconds in telling that they are.
 const returnTime = 3 * time.Second
 
-// warmupRates holds the warm-up rates of the services that have one, in requests a second to one
-// server.
-type warmupRates struct{ perSecond map[string]float64 }
-
-func (warmupRates) engineEvent() {}
-
 // applyWarmupRates puts the warm-up rates of a configuration in force.
-func (e *engine) applyWarmupRates(now time.Time, item warmupRates) {
-	if len(item.perSecond) == 0 && len(e.warmupRates) == 0 {
+func (e *engine) applyWarmupRates(now time.Time, perSecond map[string]float64) {
+	if len(perSecond) == 0 && len(e.warmupRates) == 0 {
 		return
 	}
-	e.warmupRates = item.perSecond
+	e.warmupRates = perSecond
 	for _, server := range e.servers.Cold(now) {
 		e.updateWarmup(now, server.ID, "configuration")
 	}
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -88,11 +88,12 @@
 	VerdictDecided       Event = 554
 	EvidenceUnsaved      Event = 555
 	EvidenceUnread       Event = 556
+	KeyWithdrawn         Event = 560
 	EvacuationBegun      Event = 590
 	EvacuationEnded      Event = 591
 	EvacuationUnknown    Event = 592
 	WarmupBegun          Event = 593
-	KeyWithdrawn         Event = 560
+	RegionUnknown        Event = 594
 )
 
 // Definition describes one log event.
@@ -170,11 +171,12 @@
 	{VerdictDecided, "verdictDecided", "An operator has lifted the verdict on a request, or blocked the request."},
 	{EvidenceUnsaved, "evidenceUnsaved", "The evidence of this host against requests could not be written to the store; it is written again."},
 	{EvidenceUnread, "evidenceUnread", "Evidence against requests could not be read from the store; the rest is used."},
+	{KeyWithdrawn, "keyWithdrawn", "A newer configuration has taken away the key of a request in flight, which is sent to no further server; the line has the version by which it was accepted."},
 	{EvacuationBegun, "evacuationBegun", "The operators have a failure domain evacuated: this host sends nothing more to the backend servers there."},
 	{EvacuationEnded, "evacuationEnded", "The evacuation of a failure domain was taken back; its backend servers may get requests again."},
 	{EvacuationUnknown, "evacuationUnknown", "No backend server is registered in a failure domain that is to be evacuated; its name may be wrong."},
 	{WarmupBegun, "warmupBegun", "A backend server is cold: until it has warmed up, all hosts together keep to the rate that its service allows for that."},
-	{KeyWithdrawn, "keyWithdrawn", "A newer configuration has taken away the key of a request in flight, which is sent to no further server; the line has the version by which it was accepted."},
+	{RegionUnknown, "regionUnknown", "The configuration names a region in which no failure domain is known, so that it allows no backend server; the rest holds."},
 }
 
 // Catalogue returns the definitions of all log events in ascending order.
--- a/pkg/coordination/scatterer/limits.go
+++ b/pkg/coordination/scatterer/limits.go
@@ -108,7 +108,7 @@
 // chooseWithToken replaces a choice by the next best ones until one has a token. The demand
 // for tokens is counted, once for each request.
 func (m *Machine) chooseWithToken(now time.Time, r *request, sub *subRequest, choice placer.Choice) placer.Choice {
-	servers := m.directory.Servers(sub.service)
+	servers := m.servers(sub)
 	excluded := slices.Clone(sub.sentTo)
 	for choice.Server != nil {
 		server := incarnation(choice.Server)
@@ -124,9 +124,9 @@
 	return choice
 }
 
-// withTokens returns the servers of a service that have no limit, or more than some tokens.
-func (m *Machine) withTokens(now time.Time, service string, left int) []*lister.Server {
-	servers := m.directory.Servers(service)
+// withTokens returns the servers for a sub-request that have no limit, or more than some tokens.
+func (m *Machine) withTokens(now time.Time, sub *subRequest, left int) []*lister.Server {
+	servers := m.servers(sub)
 	if m.limits.Len() == 0 {
 		return servers
 	}
@@ -174,7 +174,7 @@
 
 // noChoiceCode returns why a sub-request has no server.
 func (m *Machine) noChoiceCode(now time.Time, sub *subRequest) classifier.Code {
-	for _, server := range m.directory.Servers(sub.service) {
+	for _, server := range m.servers(sub) {
 		if !m.limits.Allows(now, incarnation(server), 0) {
 			return classifier.LimitReached
 		}
@@ -206,7 +206,7 @@
 		if choice.Server != nil || r.subRequests[i].relayed {
 			continue
 		}
-		for _, server := range m.directory.Servers(r.subRequests[i].service) {
+		for _, server := range m.servers(&r.subRequests[i]) {
 			m.limits.Await(incarnation(server))
 			may = may || m.limits.MayAsk(now, incarnation(server))
 		}
--- a/pkg/coordination/scatterer/relays.go
+++ b/pkg/coordination/scatterer/relays.go
@@ -167,7 +167,7 @@
 // awaitRelay has a sub-request without a usable server sent through a peer shortly, together
 // with others, and reports whether it does. code is the result of its last attempt.
 func (m *Machine) awaitRelay(now time.Time, r *request, sub *subRequest, code classifier.Code) bool {
-	noPath := code == classifier.ServerUnreachable || m.placer.HasNoPath(now, m.directory.Servers(sub.service))
+	noPath := code == classifier.ServerUnreachable || m.placer.HasNoPath(now, m.servers(sub))
 	if !m.mayRelay(r) || !noPath || !r.stats.relays.allows(now) {
 		return false
 	}
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -71,6 +71,8 @@
 // the route.
 type subRequest struct {
 	service string
+	// domains has the failure domains whose servers may run it, nil for all.
+	domains map[string]bool
 	// sentTo lists the IDs of the servers to which this host has sent attempts.
 	sentTo      []string
 	outstanding []*attempt
@@ -381,7 +383,7 @@
 			probes--
 			continue
 		}
-		choices[i], _ = m.preferNonSuspect(now, r, &r.subRequests[i], m.directory.Servers(r.subRequests[i].service))
+		choices[i], _ = m.preferNonSuspect(now, r, &r.subRequests[i], m.servers(&r.subRequests[i]))
 	}
 	return choices
 }
@@ -486,6 +488,9 @@
 			r.subRequests[i].service = service
 		}
 	}
+	for i := range r.subRequests {
+		r.subRequests[i].domains = e.Domains
+	}
 	r.earlyAnswerAt = earliest(now.Add(route.Objective-e.ObjectiveSpent-m.answerMargin(r)), r.deadline)
 	return r
 }
@@ -547,7 +552,7 @@
 }
 
 func (m *Machine) chooseServer(now time.Time, r *request, sub *subRequest) (placer.Choice, bool) {
-	return m.placer.Choose(now, m.directory.Servers(sub.service), sub.sentTo, time.Duration(r.stats.typicalLatency))
+	return m.placer.Choose(now, m.servers(sub), sub.sentTo, time.Duration(r.stats.typicalLatency))
 }
 
 // preferNonSuspect chooses among some servers of a sub-request one that is not a suspect,
@@ -727,7 +732,7 @@
 	if !m.cfg.Retries || !r.mayRunAgain(sub) || !now.Before(r.deadline) {
 		return e.Code
 	}
-	choice, ok := m.preferNonSuspect(now, r, sub, m.withTokens(now, sub.service, extraReserve))
+	choice, ok := m.preferNonSuspect(now, r, sub, m.withTokens(now, sub, extraReserve))
 	if !ok || choice.Unavailable || len(sub.sentTo) >= r.route.Attempts+notRunAllowance {
 		if m.awaitRelay(now, r, sub, e.Code) {
 			return classifier.OK
@@ -835,7 +840,7 @@
 		if sub.done || len(sub.outstanding) != 1 || sub.outstanding[0].server == nil || !r.mayRunAgain(sub) {
 			continue
 		}
-		choice, ok := m.preferNonSuspect(now, r, sub, m.withTokens(now, sub.service, extraReserve))
+		choice, ok := m.preferNonSuspect(now, r, sub, m.withTokens(now, sub, extraReserve))
 		if !ok || choice.Unavailable || choice.OverloadProne || !now.Add(r.stats.expectedLatency(choice)).Before(limit) {
 			continue
 		}
@@ -961,11 +966,11 @@
 // the time until the first of them may get a request; if no server is available otherwise,
 // noServerRetryAfter.
 func (m *Machine) expectedWait(now time.Time, r *request, sub *subRequest) time.Duration {
-	choice, ok := m.placer.Choose(now, m.withTokens(now, sub.service, 0), nil, time.Duration(r.stats.typicalLatency))
+	choice, ok := m.placer.Choose(now, m.withTokens(now, sub, 0), nil, time.Duration(r.stats.typicalLatency))
 	if ok && !choice.Unavailable {
 		return min(r.stats.expectedLatency(choice), noServerRetryAfter)
 	}
-	servers := m.directory.Servers(sub.service)
+	servers := m.servers(sub)
 	token, limited := m.tokenWait(now, servers)
 	pause, paused := m.placer.PauseLeft(now, servers)
 	switch {
--- a/pkg/coordination/scatterer/slices.go
+++ b/pkg/coordination/scatterer/slices.go
@@ -71,7 +71,7 @@
 // sub-request i.
 func (m *Machine) domainCanServe(now time.Time, r *request, i int, domain string) bool {
 	var candidates []*lister.Server
-	for _, server := range m.directory.Servers(r.subRequests[i].service) {
+	for _, server := range m.servers(&r.subRequests[i]) {
 		if server.Domain == domain {
 			candidates = append(candidates, server)
 		}
--- a/pkg/coordination/scatterer/types.go
+++ b/pkg/coordination/scatterer/types.go
@@ -89,6 +89,8 @@
 	// Forwarded means that another host has sent the request, so that it isn't sent through
 	// a peer again.
 	Forwarded bool
+	// Domains has the failure domains whose servers may run the request, nil for all.
+	Domains map[string]bool
 	// MaxAttempts is the number of servers that may still run each sub-request, 0 for the
 	// attempts of the route.
 	MaxAttempts int
--- a/pkg/coordination/scatterer/vetting.go
+++ b/pkg/coordination/scatterer/vetting.go
@@ -159,7 +159,7 @@
 }
 
 func (m *Machine) hasTwoServers(now time.Time, r *request, sub *subRequest) bool {
-	servers := m.directory.Servers(sub.service)
+	servers := m.servers(sub)
 	typical := time.Duration(r.stats.typicalLatency)
 	first, ok := m.placer.Choose(now, servers, sub.sentTo, typical)
 	if !ok || first.Unavailable {
@@ -193,7 +193,7 @@
 	if sub.done || len(sub.outstanding) > 0 || !r.mayRunAgain(sub) {
 		return false
 	}
-	choice, ok := m.placer.Choose(now, m.directory.Servers(sub.service), sub.sentTo, time.Duration(r.stats.typicalLatency))
+	choice, ok := m.placer.Choose(now, m.servers(sub), sub.sentTo, time.Duration(r.stats.typicalLatency))
 	return ok && !choice.Unavailable
 }
 
@@ -208,7 +208,7 @@
 	if sub.code == 0 {
 		sub.code = classifier.NotSent
 	}
-	choice, ok := m.preferNonSuspect(now, r, sub, m.withTokens(now, sub.service, 0))
+	choice, ok := m.preferNonSuspect(now, r, sub, m.withTokens(now, sub, 0))
 	switch {
 	case !r.mayRunAgain(sub) || !now.Before(r.deadline):
 		m.markDone(r, sub, sub.code)
--- a/pkg/state/matcher/organisations.go
+++ b/pkg/state/matcher/organisations.go
@@ -5,6 +5,8 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"unicode"
 )
@@ -145,3 +147,19 @@
 	o, ok := t.organisations.byName[name]
 	return o, ok
 }
+
+// Homes returns, by region, the routes and organisations whose requests may be served there.
+func (t *Table) Homes() map[string][]string {
+	places := make(map[string][]string)
+	for i := range t.cfg.Routes {
+		for _, region := range t.cfg.Routes[i].Regions {
+			places[region] = append(places[region], "route "+t.cfg.Routes[i].Name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.organisations.byName)) {
+		for _, region := range t.organisations.byName[name].Regions {
+			places[region] = append(places[region], "organisation "+name)
+		}
+	}
+	return places
+}
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -205,7 +205,7 @@
 // fill fills in the template of a host's settings as the platform does.
 func (s *stage) fill(template string, h *hostProcess, ip, domain, control, seeds string) string {
 	return strings.NewReplacer(
-		"{{node_name|json}}", strconv.Quote(h.name), "{{zone|json}}", strconv.Quote(domain),
+		"{{node_name|json}}", strconv.Quote(h.name), "{{zone|json}}", strconv.Quote(domain), "{{#region}}", "", "{{/region}}", "", "{{region|json}}", `"tas"`, "{{zones|json}}", "{}",
 		"{{limits.cpu_share}}", "0.4", "{{limits.link_mbps}}", "1000.0",
 		"{{listen_addrs.front|json}}", strconv.Quote(h.callers), "{{listen_addrs.readiness|json}}", strconv.Quote(h.ready),
 		"{{listen_addrs.control|json}}", strconv.Quote(control), "{{ip}}", ip, "{{seeds|json}}", "["+seeds+"]",
