internal/lab/starter: the fault soak evacuates failure domains

A case of the soak evacuates the domain of a random server for up to 0.6 s beside the other faults, with hosts that follow evacuations.

--- a/internal/lab/standin/site.go
+++ b/internal/lab/standin/site.go
@@ -227,6 +227,8 @@
 	Burst int
 	// Link is the IP address at which the host reaches the backend servers, empty for theirs.
 	Link string
+	// Evacuate is the bound of evacuations, empty if the host doesn't follow any.
+	Evacuate string
 }
 
 // Write writes the settings file of a host.
@@ -235,8 +237,12 @@
 	if h.Link != "" {
 		translate["127.0.0.1"] = h.Link
 	}
+	bounds := make(map[string]string)
+	if h.Evacuate != "" {
+		bounds["evacuate"] = h.Evacuate
+	}
 	data, err := json.MarshalIndent(map[string]any{
-		"name": h.Name, "translate": translate, "domain": h.Domain, "capacity": 1,
+		"bounds": bounds, "name": h.Name, "translate": translate, "domain": h.Domain, "capacity": 1,
 		"listen": map[string]any{"callers": loopback(h.Port), "readiness": loopback(h.Port + 1), "control": loopback(h.Port + 2), "metrics": loopback(h.Port + 3)},
 		"seeds":  []string{loopback(h.Seed)}, "store": h.Store, "extra": map[string]any{"ratio": 0.2, "burst": h.Burst, "window": "10s"},
 		"grace": "6s", "log": map[string]any{"level": "info", "format": "json", "bytesPerSecond": 65536},
--- a/internal/lab/starter/soak_test.go
+++ b/internal/lab/starter/soak_test.go
@@ -173,16 +173,25 @@
 }
 
 // rewind restores the store to its state of 0.1 to 3.1 s ago, in the next era, and then
-// writes the configuration and the registrations again, since those may be lost.
+// writes the configuration and the registrations again, since those may be lost, and takes back
+// evacuations, which may have come back.
 func (s *soak) rewind(version int) {
 	s.store.SetFaults(standin.StoreFaults{RewindMillis: 100 + s.random.Int64N(3000)})
 	time.Sleep(time.Duration(s.random.IntN(300)) * time.Millisecond)
 	s.configure(version)
 	for _, server := range s.servers {
+		s.store.Remove("evacuations", server.Domain)
 		s.register(server)
 	}
 }
 
+// evacuate evacuates a failure domain for a while.
+func (s *soak) evacuate(domain string) {
+	s.store.Put("evacuations", domain, map[string]any{})
+	time.Sleep(time.Duration(s.random.IntN(600)) * time.Millisecond)
+	s.store.Remove("evacuations", domain)
+}
+
 // replaceServer lets a server drain, announced in its answers, and restarts it as
 // another incarnation at the same address.
 func (s *soak) replaceServer(server *standin.Server) {
@@ -203,7 +212,7 @@
 func (s *soak) writeSettings(i, burst int) {
 	err := standin.HostSettings{
 		Name: hostName(i), Domain: fmt.Sprint("d", 1+i%s.domains), Port: s.basePorts[i], Seed: s.basePorts[0] + 2,
-		Store: s.stores[i], Burst: burst, Link: s.ips[i],
+		Store: s.stores[i], Burst: burst, Link: s.ips[i], Evacuate: "5s",
 	}.Write(s.settingsFiles[i])
 	if err != nil {
 		s.t.Error(err)
@@ -232,7 +241,7 @@
 			}
 		})
 		server := s.servers[ids[s.random.IntN(len(ids))]]
-		switch s.random.IntN(13) {
+		switch s.random.IntN(14) {
 		case 0:
 			s.hosts[i].Signal(s.t, syscall.SIGKILL)
 			s.hosts[i].Wait(s.t)
@@ -260,6 +269,8 @@
 			s.rewind(version)
 		case 10:
 			s.replaceServer(server)
+		case 13:
+			s.evacuate(server.Domain)
 		case 7, 8:
 			s.links[s.random.IntN(len(s.links))].set([]linkState{
 				{}, {delay: 50 * time.Millisecond}, {dropToTarget: true}, {dropFromTarget: true}, {reset: true},
