--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -80,6 +80,8 @@
 	// has sent it on.
 	delegated bool
 	relay     relayTerms
+	// domains has the failure domains whose servers may run the request, nil for all.
+	domains map[string]bool
 	// received is when the request was received, expires when the caller no longer waits.
 	received time.Time
 	expires  time.Time
@@ -172,15 +174,19 @@
 
 // engine runs the scatterer in one goroutine and carries out its actions.
 type engine struct {
-	log      *logger.Logger
-	domain   string
-	metrics  *counters
-	client   *client
-	queue    *queuer.Queue[event]
-	machine  *scatterer.Machine
-	servers  *lister.Lister
-	assessor *assessor.Assessor
-	notReady atomic.Bool
+	log     *logger.Logger
+	domain  string
+	metrics *counters
+	client  *client
+	queue   *queuer.Queue[event]
+	machine *scatterer.Machine
+	servers *lister.Lister
+	// evacuated has the evacuated failure domains with the times at which this host learnt so.
+	evacuated map[string]time.Time
+	// warmupRates has the warm-up rates by service.
+	warmupRates map[string]float64
+	assessor    *assessor.Assessor
+	notReady    atomic.Bool
 	// isolated is true while no backend server can be reached, partitioned while the host is
 	// not ready since it reaches the store neither.
 	isolated    atomic.Bool
@@ -245,6 +251,7 @@
 		assessor:    assessor.New(assessor.DefaultConfig()),
 		requests:    make(map[uint64]*arrival),
 		outstanding: make(map[uint64]outstandingAttempt),
+		evacuated:   make(map[string]time.Time),
 		answers:     make(map[uint64]map[uint64]*Answer),
 		listed:      make(chan struct{}),
 		ctx:         ctx,
@@ -295,6 +302,7 @@
 			e.metrics.updateBudget(e.machine)
 			e.logPaces()
 			e.machine.Vetter().Expire(time.Now())
+			e.expireWarmups(time.Now())
 		case <-assessment.C:
 			e.assess(time.Now())
 			e.askForTokens(time.Now())
@@ -315,7 +323,7 @@
 		e.answers[item.id] = make(map[uint64]*Answer)
 		e.act(e.machine.Step(now, &scatterer.Arrived{
 			Request: item.id, Route: item.route, CallerTimeLeft: item.call.Remaining, ObjectiveSpent: item.objectiveSpent, BudgetShare: item.budgetShare, Slice: item.slice, Unconfirmed: item.unconfirmed,
-			Forwarded: item.delegated, MaxAttempts: item.relay.maxAttempts, Repeat: item.relay.repeat,
+			Forwarded: item.delegated, Domains: item.domains, MaxAttempts: item.relay.maxAttempts, Repeat: item.relay.repeat,
 			Fingerprint: item.fingerprint, Method: item.outbound.method, Target: item.outbound.url.RequestURI(),
 		}))
 	case attemptEnd:
@@ -336,8 +344,8 @@
 		e.abandoned(now, item)
 	case confirmation:
 		e.act(e.machine.Step(now, &scatterer.Confirmed{Request: item.id}))
-	case *listing:
-		e.applyListing(now, item)
+	case *listing, evacuationsChange, tableChanged:
+		e.stepObjects(now, item)
 	case storeState, peersProbed, peerNotReady, delegationEnd:
 		e.stepAssessor(now, item)
 	case drainNotice:
@@ -350,8 +358,6 @@
 		e.stepVetting(now, item)
 	case evidenceWritten, evidenceLost:
 		e.stepEvidence(now, item)
-	case tableChanged:
-		e.withdrawKeys(now, item.table)
 	case policyChange:
 		e.machine.Reconfigure(item.cfg)
 	case requestsEnd:
@@ -586,7 +592,7 @@
 		"retryAfterMillis", a.Failure.RetryAfter.Milliseconds(), "missing", describeMissing(a.Missing),
 		"tookMillis", a.Took.Milliseconds(), "leftMillis", (r.call.Remaining-a.Took).Milliseconds(),
 	)...)
-	if !vetted(a.Failure.Code) {
+	if !vetted(a.Failure.Code) && !e.lacksEvacuated(a.Failure.Code) {
 		e.assessor.RequestEnded(time.Now(), false)
 	}
 	r.reply <- reply{failure: a.Failure, draining: r.draining, limits: e.limitsOf(r, a.Missing)}
@@ -628,13 +634,29 @@
 	delete(e.answers, id)
 }
 
+// stepObjects handles the events that follow from changed objects of the store.
+func (e *engine) stepObjects(now time.Time, item event) {
+	switch item := item.(type) {
+	case *listing:
+		e.applyListing(now, item)
+	case evacuationsChange:
+		e.applyEvacuations(now, item)
+	case tableChanged:
+		e.withdrawKeys(now, item.table)
+		e.applyWarmupRates(now, item.table.WarmupRates())
+	}
+}
+
 // applyListing applies changes of the list of backend servers.
 func (e *engine) applyListing(now time.Time, item *listing) {
 	if item.afterOutage {
 		e.servers.StoreRecovered(now)
 	}
 	if item.complete {
-		e.listOnce.Do(func() { close(e.listed) })
+		defer e.listOnce.Do(func() {
+			close(e.listed)
+			e.checkEvacuations()
+		})
 	}
 	e.updateServers(e.servers.Apply(now, item.registrations), "listed so")
 }
@@ -646,12 +668,18 @@
 		if e.servers.IsUsable(id) {
 			e.log.Debug(logger.ServerListed, "server", id)
 			e.machine.RegistrationChanged(id)
+			e.updateWarmup(time.Now(), id, why)
 			continue
 		}
 		e.log.Info(logger.ServerUnlisted, "server", id, "why", why)
 		e.machine.Forget(time.Now(), id)
 	}
+	e.publishServers()
+}
+
+// publishServers makes the changed list of servers known.
+func (e *engine) publishServers() {
 	e.metrics.servers.Set(float64(e.servers.UsableCount()))
-	listed := e.servers.ByDomain()
+	listed := e.servers.ReachableByDomain()
 	e.client.listed.Store(&listed)
 }
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -93,7 +93,7 @@
 func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request, from sender) (*arrival, *classifier.Failure) {
 	a := &arrival{reply: make(chan reply, 1)}
 	table := f.table.Load()
-	if table == nil || !f.engine.servesRequests.Load() {
+	if table == nil || !f.engine.servesRequests.Load() || !f.knowsEvacuations() {
 		return a, classifier.NewFailure(classifier.NotConfigured, "").WithRetryAfter(transientRetryAfter)
 	}
 	call, err := f.cfg.Dialect.Call(r)
@@ -117,6 +117,7 @@
 	if failure != nil {
 		return a, failure
 	}
+	f.setHomes(a)
 	body, failure := f.readBody(w, r, table.Limits().BodyBytes, call.Remaining)
 	if failure != nil {
 		return a, failure
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -94,6 +94,11 @@
 	QuotaTakenOver       Event = 572
 	QuotaNotLent         Event = 573
 	QuotaTimeLost        Event = 574
+	EvacuationBegun      Event = 590
+	EvacuationEnded      Event = 591
+	EvacuationUnknown    Event = 592
+	WarmupBegun          Event = 593
+	RegionUnknown        Event = 594
 	PaceBegun            Event = 610
 	PaceEnded            Event = 611
 )
@@ -179,6 +184,11 @@
 	{QuotaTakenOver, "quotaTakenOver", "This host keeps the bucket of an organisation in place of a host that is lost, with a part of its terms at first."},
 	{QuotaNotLent, "quotaNotLent", "Another failure domain has not answered an ask to lend tokens of a quota; this one goes on with its own part."},
 	{QuotaTimeLost, "quotaTimeLost", "The process stood still; the buckets of quotas that it keeps gain nothing for that time."},
+	{EvacuationBegun, "evacuationBegun", "The operators have a failure domain evacuated: this host sends nothing more to the backend servers there."},
+	{EvacuationEnded, "evacuationEnded", "The evacuation of a failure domain was taken back; its backend servers may get requests again."},
+	{EvacuationUnknown, "evacuationUnknown", "No backend server is registered in a failure domain that is to be evacuated; its name may be wrong."},
+	{WarmupBegun, "warmupBegun", "A backend server is cold: until it has warmed up, all hosts together keep to the rate that its service allows for that."},
+	{RegionUnknown, "regionUnknown", "The configuration names a region in which no failure domain is known, so that it allows no backend server; the rest holds."},
 	{PaceBegun, "paceBegun", "A backend server has started or recovered; it gets a part of its usual requests, which grows with its answers."},
 	{PaceEnded, "paceEnded", "A backend server gets all its usual requests again."},
 }
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -205,12 +205,13 @@
 // fill fills in the template of a host's settings as the platform does.
 func (s *stage) fill(template string, h *hostProcess, ip, domain, control, seeds string) string {
 	return strings.NewReplacer(
-		"{{node_name|json}}", strconv.Quote(h.name), "{{zone|json}}", strconv.Quote(domain),
+		"{{node_name|json}}", strconv.Quote(h.name), "{{zone|json}}", strconv.Quote(domain), "{{#region}}", "", "{{/region}}", "", "{{region|json}}", `"tas"`, "{{zones|json}}", "{}",
 		"{{limits.cpu_share}}", "0.4", "{{limits.link_mbps}}", "1000.0",
 		"{{listen_addrs.front|json}}", strconv.Quote(h.callers), "{{listen_addrs.readiness|json}}", strconv.Quote(h.ready),
 		"{{listen_addrs.control|json}}", strconv.Quote(control), "{{ip}}", ip, "{{seeds|json}}", "["+seeds+"]",
 		"{{bootstrap|json}}", "true", "{{platform.address|json}}", strconv.Quote(s.store.Address()),
 		"{{bounds.retry_ratio}}", "0.2", "{{bounds.retry_slack}}", "56", "{{bounds.retry_window_s}}", "10", "{{bounds.grace_s}}", "6",
+		"{{#bounds.evacuate_ms}}", "", "{{bounds.evacuate_ms}}", "5000", "{{/bounds.evacuate_ms}}", "",
 	).Replace(template)
 }
 
