pkg/coordination/scatterer: requests whose key is taken away get no further attempts

Cause: a request in flight whose organisation lost the key still got hedges, retries and relays. Change: a configuration in force has such requests found and withdrawn: attempts at servers end, none follow, and what only waits is refused.

--- a/internal/forwarder/callers.go
+++ b/internal/forwarder/callers.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
 )
@@ -116,25 +118,51 @@
 	return classifier.NewFailure(classifier.UnknownKey, "%s key, route %q, version %d", problem, a.route.Name, table.Version())
 }
 
+// tableChanged reports that another configuration is in force.
+type tableChanged struct{ table *matcher.Table }
+
+func (tableChanged) engineEvent() {}
+
+// withdrawKeys has requests in flight whose keys a configuration has taken away sent to no further
+// server.
+func (e *engine) withdrawKeys(now time.Time, table *matcher.Table) {
+	for id, r := range e.requests {
+		if r.identifiedBy(table) {
+			continue
+		}
+		e.metrics.unidentified(keyWithdrawn)
+		e.log.Info(logger.KeyWithdrawn, "request", r.call.ID, "organisation", r.organisation.Name, "key", r.identity.digest.Fingerprint(),
+			"accepted", r.version, "version", table.Version())
+		e.act(e.machine.Step(now, &scatterer.Withdrawn{Request: id}))
+	}
+}
+
+// identifiedBy reports whether a configuration finds the same organisation for the key of a
+// request, if the request has been identified by one.
+func (a *arrival) identifiedBy(table *matcher.Table) bool {
+	if a.identity.table == nil || a.identity.table == table || !table.HasOrganisations() {
+		return true
+	}
+	organisation, known := table.Holder(a.identity.digest)
+	return known && organisation.Name == a.organisation.Name
+}
+
 // recheck returns why the caller of a request that has waited is refused by a configuration that
 // has come into force in the meantime, nil if it isn't.
 func (f *Forwarder) recheck(a *arrival) *classifier.Failure {
 	table := f.table.Load()
-	if a.identity.table == nil || a.identity.table == table || !table.HasOrganisations() {
+	if a.identifiedBy(table) {
 		return nil
 	}
-	organisation, known := table.Holder(a.identity.digest)
-	switch {
-	case known && organisation.Name == a.organisation.Name:
-		return nil
-	case known || a.route.Public:
-		// The next attempt is served for the organisation that holds the key now, or for none.
-		f.metrics.unidentified(keyWithdrawn)
-		return classifier.NewFailure(classifier.StaleRoutes, "the key no longer belongs to the organisation, version %d", table.Version()).
-			WithRetryAfter(transientRetryAfter)
-	}
 	a.identity.refusedKey = a.identity.digest.Fingerprint()
-	return f.unknownKey(table, a, keyWithdrawn)
+	_, known := table.Holder(a.identity.digest)
+	if !known && !a.route.Public {
+		return f.unknownKey(table, a, keyWithdrawn)
+	}
+	// The next attempt is served for the organisation that holds the key now, or for none.
+	f.metrics.unidentified(keyWithdrawn)
+	return classifier.NewFailure(classifier.StaleRoutes, "the key no longer belongs to the organisation, version %d", table.Version()).
+		WithRetryAfter(transientRetryAfter)
 }
 
 // organisationName returns the name of a request's organisation, empty without one.
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -346,6 +346,8 @@
 		e.stepVetting(now, item)
 	case evidenceWritten, evidenceLost:
 		e.stepEvidence(now, item)
+	case tableChanged:
+		e.withdrawKeys(now, item.table)
 	case policyChange:
 		e.machine.Reconfigure(item.cfg)
 	case requestsEnd:
--- a/internal/forwarder/follower.go
+++ b/internal/forwarder/follower.go
@@ -266,6 +266,7 @@
 		return
 	}
 	f.table.Store(table)
+	f.engine.push(tableChanged{table})
 	f.metrics.version.Set(float64(table.Version()))
 	f.metrics.organisations.Set(float64(table.OrganisationCount()))
 	f.cfg.Logger.Info(logger.RoutesAdopted, "version", table.Version(), "revision", table.Revision(), "routes", table.RouteCount(),
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -56,6 +56,11 @@
 	if f.delegateQuery(w, r, a) {
 		return
 	}
+	failure = f.recheck(a)
+	if failure != nil {
+		f.refuse(w, a, failure)
+		return
+	}
 	f.run(w, r, a)
 }
 
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -88,6 +88,7 @@
 	VerdictDecided       Event = 554
 	EvidenceUnsaved      Event = 555
 	EvidenceUnread       Event = 556
+	KeyWithdrawn         Event = 560
 )
 
 // Definition describes one log event.
@@ -165,6 +166,7 @@
 	{VerdictDecided, "verdictDecided", "An operator has lifted the verdict on a request, or blocked the request."},
 	{EvidenceUnsaved, "evidenceUnsaved", "The evidence of this host against requests could not be written to the store; it is written again."},
 	{EvidenceUnread, "evidenceUnread", "Evidence against requests could not be read from the store; the rest is used."},
+	{KeyWithdrawn, "keyWithdrawn", "A newer configuration has taken away the key of a request in flight, which is sent to no further server; the line has the version by which it was accepted."},
 }
 
 // Catalogue returns the definitions of all log events in ascending order.
--- a/pkg/coordination/scatterer/relays.go
+++ b/pkg/coordination/scatterer/relays.go
@@ -198,7 +198,7 @@
 	r.relayAt = time.Time{}
 	rescue := r.rescue
 	r.rescue = false
-	allowed := r.stats.relays.allows(now) && now.Before(r.deadline)
+	allowed := r.maxAttempts > 0 && r.stats.relays.allows(now) && now.Before(r.deadline)
 	var subRequests []int
 	for i := range r.subRequests {
 		sub := &r.subRequests[i]
--- a/pkg/coordination/scatterer/scatterer.go
+++ b/pkg/coordination/scatterer/scatterer.go
@@ -289,6 +289,8 @@
 		if r != nil {
 			m.discard(now, r)
 		}
+	case *Withdrawn:
+		m.withdraw(now, m.requests[e.Request])
 	case *Stopped:
 		m.endAll(now)
 	case *ProbeEnded:
