--- a/internal/forwarder/quotacalls.go
+++ b/internal/forwarder/quotacalls.go
@@ -20,9 +20,9 @@
 	quotasPath = "/quotas"
 	// quotaAskTimeout limits an ask at one host, quotaRelayTimeout the time in which that host
 	// passes it on, and loanTimeout the time in which it borrows, so that its answer is in time.
-	quotaAskTimeout   = 50 * time.Millisecond
-	quotaRelayTimeout = 30 * time.Millisecond
-	loanTimeout       = 15 * time.Millisecond
+	quotaAskTimeout   = 40 * time.Millisecond
+	quotaRelayTimeout = 15 * time.Millisecond
+	loanTimeout       = 10 * time.Millisecond
 	// maxKeepersTried is how many hosts are asked on behalf of the same requests.
 	maxKeepersTried = 3
 	// maxQuotaBytes bounds a message, many times its size.
@@ -98,6 +98,13 @@
 	return !q.contacts.Avoided(time.Now(), host)
 }
 
+// lost reports whether this host answers in place of one before it without trying that.
+func (q *quotas) lost(host string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.contacts.Lost(time.Now(), host)
+}
+
 // answered records that a host has answered, directly or through another one.
 func (q *quotas) answered(host string) {
 	q.mu.Lock()
@@ -137,18 +144,15 @@
 	answerJSON(w, answer, err)
 }
 
-// answerQuota answers a message. Unless the hosts before this one are lost, it is passed on, so
-// that a single host keeps the bucket.
+// answerQuota answers a message. It is passed on to the hosts before this one unless they are
+// lost, so that a single host keeps the bucket.
 func (f *Forwarder) answerQuota(ctx context.Context, m quotaMessage) (quotaAnswer, error) {
 	self, organisation := f.Settings(), m.subject().Organisation
 	for rank, host := range f.keepers(self.Domain, organisation) {
 		if host.Name == self.Name || m.Relayed {
 			return f.keepBucket(ctx, rank > 0 || host.Name != self.Name, m), nil
 		}
-		f.quotas.mu.Lock()
-		lost, retry := f.quotas.contacts.Lost(time.Now(), host.Name)
-		f.quotas.mu.Unlock()
-		if !retry {
+		if f.quotas.lost(host.Name) {
 			continue
 		}
 		relayed := m
@@ -160,9 +164,6 @@
 			f.quotas.mu.Unlock()
 			return answer, nil
 		}
-		if !lost && !errors.Is(err, syscall.ECONNREFUSED) {
-			return quotaAnswer{}, err
-		}
 	}
 	return quotaAnswer{}, errCallRejected
 }
--- a/internal/forwarder/quotas.go
+++ b/internal/forwarder/quotas.go
@@ -13,9 +13,9 @@
 
 const (
 	// quotaObjectiveShare is the part of a latency objective for which a request waits for a
-	// token, minQuotaWait the least time: that of one ask of a busy host.
+	// token, minQuotaWait the least time: that of one ask at a host that is lost and at another.
 	quotaObjectiveShare = 4
-	minQuotaWait        = 60 * time.Millisecond
+	minQuotaWait        = 100 * time.Millisecond
 	// quotaAskLimit is how long an ask goes on, also after the requests that waited for it: it
 	// finds out which hosts are lost.
 	quotaAskLimit = 250 * time.Millisecond
--- a/pkg/coordination/rationer/contacts.go
+++ b/pkg/coordination/rationer/contacts.go
@@ -4,13 +4,13 @@
 
 const (
 	// lostTime is how long a host must have left calls unanswered, at least lostCalls of them,
-	// until another one keeps its buckets: a busy host is late at times, and two hosts that
-	// keep the same bucket grant more than its part.
+	// until it is tried no more than each retryTime before another one answers in its place: a
+	// busy host is late at times, and two that keep the same bucket grant more than its part.
 	lostTime  = 250 * time.Millisecond
 	lostCalls = 2
-	// retryTime is how often a lost host is tried, avoidTime how long a host asks others than
-	// one that has not answered it; those pass the ask on, and tell which host has answered.
 	retryTime = time.Second
+	// avoidTime is how long a host asks others than one that has not answered it; those pass
+	// the ask on, and tell which host has answered.
 	avoidTime = 10 * time.Second
 )
 
@@ -53,13 +53,11 @@
 	return ok && now.Sub(s.last) < avoidTime
 }
 
-// Lost reports whether another host keeps the buckets of a host, and whether that is to be
-// tried again first.
-func (c *Contacts) Lost(now time.Time, host string) (lost, retry bool) {
+// Lost reports whether another host answers in place of a host without trying that first.
+func (c *Contacts) Lost(now time.Time, host string) bool {
 	s, ok := c.silent[host]
-	if !ok {
-		return false, true
+	if !ok || now.Sub(s.last) >= retryTime {
+		return false
 	}
-	lost = s.refused || (s.calls >= lostCalls && s.last.Sub(s.since) >= lostTime)
-	return lost, !lost || now.Sub(s.last) >= retryTime
+	return s.refused || (s.calls >= lostCalls && s.last.Sub(s.since) >= lostTime)
 }
--- a/pkg/coordination/rationer/fleet_test.go
+++ b/pkg/coordination/rationer/fleet_test.go
@@ -10,8 +10,8 @@
 
 const (
 	messageTime = time.Millisecond
-	callLimit   = 50 * time.Millisecond
-	relayLimit  = 30 * time.Millisecond
+	callLimit   = 40 * time.Millisecond
+	relayLimit  = 15 * time.Millisecond
 )
 
 var (
@@ -156,14 +156,13 @@
 	return Position{Domains: len(f.domains), Substitute: f.order(n, n.domain)[0] != n}
 }
 
-// answer serves a message at a host, which passes it on unless the hosts before it are lost.
-func (f *fleet) answer(c *node, serve func(keeper *node, reply func(any)), reply func(any)) {
-	for _, before := range f.order(c, c.domain) {
+// answer serves a message at a host unless one of those before it, from a rank on, does.
+func (f *fleet) answer(c *node, rank int, serve func(keeper *node, reply func(any)), reply func(any)) {
+	for i, before := range f.order(c, c.domain) {
 		if before == c {
 			break
 		}
-		lost, retry := c.contacts.Lost(f.clock(c), before.key)
-		if !retry {
+		if i < rank || c.contacts.Lost(f.clock(c), before.key) {
 			continue
 		}
 		f.call(c, before, relayLimit, func(answer func(any)) { serve(before, answer) }, func(answer any) {
@@ -174,9 +173,7 @@
 				return
 			}
 			c.contacts.Silent(f.clock(c), before.key, before.down)
-			if lost || before.down {
-				f.answer(c, serve, reply)
-			}
+			f.answer(c, i+1, serve, reply)
 		})
 		return
 	}
@@ -200,7 +197,7 @@
 	}
 	lender := f.first(c, domain)
 	lend := func(n *node, reply func(any)) { reply(n.rationer.Lend(f.clock(n), f.position(n), loan)) }
-	f.call(c, lender, relayLimit, func(reply func(any)) { f.answer(lender, lend, reply) }, func(answer any) {
+	f.call(c, lender, relayLimit, func(reply func(any)) { f.answer(lender, 0, lend, reply) }, func(answer any) {
 		if answer == nil {
 			c.contacts.Silent(f.clock(c), lender.key, lender.down)
 			c.rationer.NotLent(f.clock(c), ask.Organisation, domain)
@@ -261,9 +258,9 @@
 		end(nil)
 	case to == n:
 		// Nobody may answer: this host doesn't keep the bucket yet.
-		f.call(n, n, callLimit, func(reply func(any)) { f.answer(n, f.allot(ask), reply) }, end)
+		f.call(n, n, callLimit, func(reply func(any)) { f.answer(n, 0, f.allot(ask), reply) }, end)
 	default:
-		f.call(n, to, callLimit, func(reply func(any)) { f.answer(to, f.allot(ask), reply) }, func(answer any) {
+		f.call(n, to, callLimit, func(reply func(any)) { f.answer(to, 0, f.allot(ask), reply) }, func(answer any) {
 			if answer == nil {
 				n.contacts.Silent(f.clock(n), to.key, to.down)
 				f.ask(n, ask, asked, tried+1)
