pkg/coordination/rationer: substitutes grant at the whole rate, ended processes are tried each 0.2 s

TestQuotaHoldsFromFullBuckets begins each failure with full buckets; it finds new buckets that begin full (30 of 21.1) and substitutes that begin like new ones (164 of 138.8), which the drawn failures didn't.

--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -172,7 +172,7 @@
 	{EvidenceUnread, "evidenceUnread", "Evidence against requests could not be read from the store; the rest is used."},
 	{QuotaReached, "quotaReached", "A request was refused for the quota of its organisation; the line says what the bucket held, which host keeps it and when it told so, or that no host has answered."},
 	{QuotaUnanswered, "quotaUnanswered", "No host of the failure domain has answered an ask for tokens of a quota; this host admits a small share until one does."},
-	{QuotaTakenOver, "quotaTakenOver", "This host keeps the bucket of an organisation in place of a host that is lost, with a part of its terms at first."},
+	{QuotaTakenOver, "quotaTakenOver", "This host keeps the bucket of an organisation in place of a host that is lost or late; it begins empty."},
 	{QuotaNotLent, "quotaNotLent", "Another failure domain has not answered an ask to lend tokens of a quota; this one goes on with its own part."},
 	{QuotaTimeLost, "quotaTimeLost", "The process stood still; the buckets of quotas that it keeps gain nothing for that time."},
 }
--- a/pkg/coordination/rationer/contacts.go
+++ b/pkg/coordination/rationer/contacts.go
@@ -9,6 +9,8 @@
 	lostTime  = 250 * time.Millisecond
 	lostCalls = 2
 	retryTime = time.Second
+	// refusedTime is the same for a host without a process, which tells so at once.
+	refusedTime = 200 * time.Millisecond
 	// avoidTime is how long a host asks others than one that has not answered it; those pass
 	// the ask on, and tell which host has answered.
 	avoidTime = 10 * time.Second
@@ -56,8 +58,12 @@
 // Lost reports whether another host answers in place of a host without trying that first.
 func (c *Contacts) Lost(now time.Time, host string) bool {
 	s, ok := c.silent[host]
-	if !ok || now.Sub(s.last) >= retryTime {
+	switch {
+	case !ok:
 		return false
+	case s.refused:
+		return now.Sub(s.last) < refusedTime
+	default:
+		return s.calls >= lostCalls && s.last.Sub(s.since) >= lostTime && now.Sub(s.last) < retryTime
 	}
-	return s.refused || (s.calls >= lostCalls && s.last.Sub(s.since) >= lostTime)
 }
--- a/pkg/coordination/rationer/fleet_test.go
+++ b/pkg/coordination/rationer/fleet_test.go
@@ -10,6 +10,7 @@
 
 const (
 	messageTime = time.Millisecond
+	slowTime    = 30 * time.Millisecond
 	callLimit   = 40 * time.Millisecond
 	relayLimit  = 15 * time.Millisecond
 )
@@ -63,6 +64,8 @@
 	subject Subject
 	loss    float64
 	cut     string
+	// slow is a host whose messages take slowTime.
+	slow *node
 	// disagree makes half of the hosts lack the newest hosts in their lists, and the others
 	// those that have left, which are the oldest.
 	disagree bool
@@ -115,7 +118,11 @@
 	if f.rng.Float64() < f.loss || (from.domain != to.domain && (from.domain == f.cut || to.domain == f.cut)) {
 		return
 	}
-	f.after(messageTime, func() { f.on(to, do) })
+	delay := messageTime
+	if from == f.slow || to == f.slow {
+		delay = slowTime
+	}
+	f.after(delay, func() { f.on(to, do) })
 }
 
 // call has a host serve a call; done gets nil if no answer comes in time.
@@ -127,6 +134,9 @@
 			done(answer)
 		}
 	}
+	if to.down {
+		limit = messageTime // the connection is refused
+	}
 	f.after(limit, func() { f.on(from, func() { finish(nil) }) })
 	f.message(from, to, func() { serve(func(answer any) { f.message(to, from, func() { finish(answer) }) }) })
 }
--- a/pkg/coordination/rationer/rationer.go
+++ b/pkg/coordination/rationer/rationer.go
@@ -13,10 +13,8 @@
 	// it that shows that the process stood still, while another host may have taken over.
 	TickInterval = 500 * time.Millisecond
 	maxTickGap   = TickInterval + 100*time.Millisecond
-	// substituteIdle is how long a substitute that nobody asks keeps what it has gathered,
-	// substituteTime how long it has a part of the rate: the other host may still grant.
+	// substituteIdle is how long a substitute that nobody asks keeps what it has gathered.
 	substituteIdle = time.Second
-	substituteTime = 5 * time.Second
 	// bucketLife is how long an unused bucket is kept, sweepInterval how often they are looked at.
 	bucketLife    = 10 * time.Minute
 	sweepInterval = 10 * time.Second
@@ -61,7 +59,6 @@
 	terms      terms
 	level      float64
 	refilledAt time.Time
-	createdAt  time.Time
 	askedAt    time.Time
 	demand     allotter.Demand
 	// lenders is when domains that had no token to lend may be asked again, nil before any was
@@ -154,7 +151,7 @@
 	r.Tick(now)
 	b := r.buckets[s.Organisation]
 	if b == nil {
-		b = &bucket{version: s.Version, quota: s.Quota, createdAt: now, refilledAt: now, askedAt: now}
+		b = &bucket{version: s.Version, quota: s.Quota, refilledAt: now, askedAt: now}
 		b.terms = r.rule.terms(s.Quota, p)
 		if !p.Substitute {
 			b.level = b.terms.initial
@@ -164,11 +161,9 @@
 	if s.Version > b.version {
 		b.version, b.quota = s.Version, s.Quota
 	}
-	b.terms = r.rule.terms(b.quota, p)
-	if p.Substitute && now.Sub(b.createdAt) < substituteTime {
-		b.terms.rate *= substituteFraction
-	}
 	b.refill(now)
+	b.terms = r.rule.terms(b.quota, p)
+	b.level = min(b.level, b.terms.capacity)
 	if p.Substitute && now.Sub(b.askedAt) > substituteIdle {
 		b.level = min(b.level, b.terms.initial)
 	}
--- a/pkg/coordination/rationer/rationer_test.go
+++ b/pkg/coordination/rationer/rationer_test.go
@@ -11,10 +11,10 @@
 	"pgregory.net/rapid"
 )
 
-func (f *fleet) check(t interface{ Fatalf(string, ...any) }, what string) {
+func (f *fleet) check(t interface{ Errorf(string, ...any) }, what string) {
 	n, allowed := most(f.sent), rule.Allowed(f.subject.Quota)
 	if float64(n) > allowed {
-		t.Fatalf("%s: %d requests in %v, allowed %.1f", what, n, rule.Window, allowed)
+		t.Errorf("%s: %d requests in %v, allowed %.1f", what, n, rule.Window, allowed)
 	}
 }
 
@@ -92,11 +92,11 @@
 		rate := rapid.SampledFrom([]float64{0.16, 2, 18}).Draw(t, "rate")
 		f := newFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 5).Draw(t, "domains"), rapid.IntRange(2, 15).Draw(t, "hosts"), Quota{rate, rate})
 		f.loss = rapid.SampledFrom([]float64{0, 0.02}).Draw(t, "loss")
-		demand := func() float64 { return rate * rapid.SampledFrom([]float64{0.6, 3, 7}).Draw(t, "demand") }
+		demand := func() float64 { return rate * rapid.SampledFrom([]float64{0.05, 0.6, 7}).Draw(t, "demand") }
 		pick := rapid.SampledFrom([]func() *node{f.anywhere, func() *node { return f.in(f.domains[0]) }}).Draw(t, "place")
 		f.run(4*time.Second, demand(), pick)
 		for range rapid.IntRange(1, 4).Draw(t, "failures") {
-			what := rapid.SampledFrom([]string{"cut", "killFirst", "killAll", "freeze", "suspend", "disagree", "halve"}).Draw(t, "failure")
+			what := rapid.SampledFrom([]string{"cut", "killFirst", "killAll", "freeze", "suspend", "disagree", "halve", "slow"}).Draw(t, "failure")
 			domain := f.domains[f.rng.IntN(len(f.domains))]
 			switch what {
 			case "cut":
@@ -105,20 +105,18 @@
 				f.kill(f.nodes[domain][0], 2*time.Second)
 			case "killAll":
 				longest := time.Duration(rapid.IntRange(1, 3000).Draw(t, "restartMillis")) * time.Millisecond
-				for _, nodes := range f.nodes {
-					for _, n := range nodes {
-						f.kill(n, longest)
-					}
-				}
+				f.killAll(longest)
 			case "freeze", "suspend":
 				f.freeze(f.nodes[domain][0], time.Duration(rapid.IntRange(100, 6000).Draw(t, "millis"))*time.Millisecond, what == "suspend")
+			case "slow":
+				f.slow = f.nodes[domain][0]
 			case "disagree":
 				f.disagree = true
 				f.nodes[domain][0].down = true
 			}
 			f.run(time.Duration(rapid.IntRange(100, 6000).Draw(t, "length"))*time.Millisecond, demand(), pick)
 			f.check(t, what)
-			f.cut, f.disagree = "", false
+			f.cut, f.disagree, f.slow = "", false, nil
 			if what == "disagree" {
 				f.kill(f.nodes[domain][0], 2*time.Second)
 			}
@@ -134,6 +132,52 @@
 	})
 }
 
+// killAll ends all processes, which start again within some time.
+func (f *fleet) killAll(longest time.Duration) {
+	for _, nodes := range f.nodes {
+		for _, n := range nodes {
+			f.kill(n, longest)
+		}
+	}
+}
+
+// TestQuotaHoldsFromFullBuckets has an organisation that was silent send ten times its quota while
+// something fails.
+func TestQuotaHoldsFromFullBuckets(t *testing.T) {
+	eachFirst := func(f *fleet, do func(*node)) {
+		for _, domain := range f.domains {
+			do(f.nodes[domain][0])
+		}
+	}
+	failures := map[string]func(f *fleet){
+		"none": func(*fleet) {},
+		"cut":  func(f *fleet) { f.cut = "d0" },
+		"all killed twice": func(f *fleet) {
+			f.killAll(200 * time.Millisecond)
+			f.after(time.Second, func() { f.killAll(200 * time.Millisecond) })
+		},
+		"all killed, late starts": func(f *fleet) { f.killAll(3 * time.Second) },
+		"first killed":            func(f *fleet) { eachFirst(f, func(n *node) { f.kill(n, time.Second) }) },
+		"first frozen":            func(f *fleet) { eachFirst(f, func(n *node) { f.freeze(n, 2*time.Second, false) }) },
+		"first suspended":         func(f *fleet) { eachFirst(f, func(n *node) { f.freeze(n, 2*time.Second, true) }) },
+		"first slow":              func(f *fleet) { f.slow = f.nodes["d0"][0] },
+		"messages lost":           func(f *fleet) { f.loss = 0.03 },
+	}
+	for name, fail := range failures {
+		for _, rate := range []float64{0.16, 2, 18} {
+			for _, domains := range []int{1, 4} {
+				for _, delay := range []time.Duration{0, 300 * time.Millisecond, 2 * time.Second} {
+					f := newFleet(7, domains, 12, Quota{rate, rate})
+					f.run(20*time.Second, rate/10, f.anywhere)
+					f.after(delay, func() { fail(f) })
+					f.run(9*time.Second, 10*max(rate, 2), f.anywhere)
+					f.check(t, fmt.Sprintf("%s, rate %v, %d domains, after %v", name, rate, domains, delay))
+				}
+			}
+		}
+	}
+}
+
 // TestPartsStayWithinTheRule adds up what the buckets of all domains, those of hosts that start
 // anew beside them, late tokens and hosts that nobody answers may admit in a window.
 func TestPartsStayWithinTheRule(t *testing.T) {
--- a/pkg/coordination/rationer/rule.go
+++ b/pkg/coordination/rationer/rule.go
@@ -14,7 +14,7 @@
 	// a host which was thought lost comes back beside the one that has taken over.
 	startFraction = 0.25
 	spareFraction = 0.5
-	// substituteFraction is the part of a bucket's terms at a host that has taken over.
+	// substituteFraction is the part of a bucket's capacity at a host that has taken over.
 	substituteFraction = 0.5
 )
 
@@ -42,7 +42,8 @@
 type Position struct {
 	// Domains is the number of failure domains that share the quota.
 	Domains int
-	// Substitute means that another host of the domain keeps the bucket while it can be reached.
+	// Substitute means that another host of the domain keeps the bucket while it can be reached;
+	// it may be alive and grant tokens to others.
 	Substitute bool
 }
 
