--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -88,6 +88,7 @@
 	VerdictDecided       Event = 554
 	EvidenceUnsaved      Event = 555
 	EvidenceUnread       Event = 556
+	KeyWithdrawn         Event = 560
 	QuotaReached         Event = 570
 	QuotaUnanswered      Event = 571
 	QuotaTakenOver       Event = 572
@@ -170,6 +171,7 @@
 	{VerdictDecided, "verdictDecided", "An operator has lifted the verdict on a request, or blocked the request."},
 	{EvidenceUnsaved, "evidenceUnsaved", "The evidence of this host against requests could not be written to the store; it is written again."},
 	{EvidenceUnread, "evidenceUnread", "Evidence against requests could not be read from the store; the rest is used."},
+	{KeyWithdrawn, "keyWithdrawn", "A newer configuration has taken away the key of a request in flight, which is sent to no further server; the line has the version by which it was accepted."},
 	{QuotaReached, "quotaReached", "A request was refused for the quota of its organisation; the line says what the bucket held, which host keeps it and when it told so, or that no host has answered."},
 	{QuotaUnanswered, "quotaUnanswered", "No host of the failure domain has answered an ask for tokens of a quota; this host admits a small share until one does."},
 	{QuotaTakenOver, "quotaTakenOver", "This host keeps the bucket of an organisation in place of a host that is lost or late; it begins empty."},
