--- a/internal/forwarder/quotas.go
+++ b/internal/forwarder/quotas.go
@@ -7,18 +7,22 @@
 	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/internal/sleeper"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/rationer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 )
 
 const (
 	// quotaObjectiveShare is the part of a latency objective for which a request waits for a
-	// token, minQuotaWait the least time: that of one ask of a busy host.
+	// token, minQuotaWait the least time: that of one ask at a host that is lost and at another.
 	quotaObjectiveShare = 4
-	minQuotaWait        = 60 * time.Millisecond
+	minQuotaWait        = 100 * time.Millisecond
 	// quotaAskLimit is how long an ask goes on, also after the requests that waited for it: it
 	// finds out which hosts are lost.
 	quotaAskLimit = 250 * time.Millisecond
+	// keepersPollInterval is how often a host that has just started looks for the hosts that it
+	// knows.
+	keepersPollInterval = 10 * time.Millisecond
 )
 
 // quotas admits requests by the quotas of their organisations.
@@ -79,18 +83,21 @@
 
 // spendQuota charges a request to the quota of its organisation, or returns why it is refused.
 func (f *Forwarder) spendQuota(ctx context.Context, a *arrival) *classifier.Failure {
-	subject, limited := subjectOf(a)
-	if !limited {
+	subject, ok := subjectOf(a)
+	if !ok {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, max(a.route.Objective/quotaObjectiveShare, minQuotaWait))
+	limited, cancel := context.WithTimeout(ctx, max(a.route.Objective/quotaObjectiveShare, minQuotaWait))
 	defer cancel()
 	began := time.Now()
-	charge, denial := f.takeToken(ctx, subject)
-	if denial == nil {
+	charge, denial := f.takeToken(limited, subject)
+	switch {
+	case denial == nil:
 		a.charge = charge
 		f.metrics.quotaSpent(charge)
 		return nil
+	case ctx.Err() != nil:
+		return classifier.NewFailure(classifier.Canceled, "while the request waited for the quota of %q", subject.Organisation)
 	}
 	f.metrics.quotaDenied(denial)
 	now := time.Now()
@@ -153,14 +160,15 @@
 // askForQuota gets tokens for the requests that wait, and for those expected soon.
 func (f *Forwarder) askForQuota(organisation string, done chan struct{}) {
 	q := f.quotas
+	ctx, cancel := context.WithTimeout(q.ctx, quotaAskLimit)
+	defer cancel()
+	f.awaitKeepers(ctx, organisation)
 	q.mu.Lock()
 	q.purse.SetHosts(max(len(f.delegate.listedHosts()), assumedHosts))
 	askedAt := time.Now()
 	ask, ok := q.purse.Ask(askedAt, organisation, q.waiting[organisation])
 	q.mu.Unlock()
 	if ok {
-		ctx, cancel := context.WithTimeout(q.ctx, quotaAskLimit)
-		defer cancel()
 		answer, err := f.quotaAnswerFor(ctx, f.Settings().Domain, quotaMessage{Ask: &ask}, quotaAskTimeout)
 		f.metrics.quotaAsk(err)
 		if err != nil {
@@ -181,6 +189,15 @@
 	close(done)
 }
 
+// awaitKeepers waits a little while a host that has just started knows no others.
+func (f *Forwarder) awaitKeepers(ctx context.Context, organisation string) {
+	ctx, cancel := context.WithTimeout(ctx, minQuotaWait)
+	defer cancel()
+	for ctx.Err() == nil && len(f.keepers(f.Settings().Domain, organisation)) == 0 {
+		sleeper.Sleep(ctx, keepersPollInterval)
+	}
+}
+
 // returnQuota gives back what a request that has not run was charged.
 func (f *Forwarder) returnQuota(a *arrival) {
 	if a.charge.Organisation == "" {
--- a/pkg/coordination/rationer/fleet_test.go
+++ b/pkg/coordination/rationer/fleet_test.go
@@ -10,8 +10,9 @@
 
 const (
 	messageTime = time.Millisecond
-	callLimit   = 50 * time.Millisecond
-	relayLimit  = 30 * time.Millisecond
+	slowTime    = 30 * time.Millisecond
+	callLimit   = 40 * time.Millisecond
+	relayLimit  = 15 * time.Millisecond
 )
 
 var (
@@ -63,6 +64,8 @@
 	subject Subject
 	loss    float64
 	cut     string
+	// slow is a host whose messages take slowTime.
+	slow *node
 	// disagree makes half of the hosts lack the newest hosts in their lists, and the others
 	// those that have left, which are the oldest.
 	disagree bool
@@ -115,7 +118,11 @@
 	if f.rng.Float64() < f.loss || (from.domain != to.domain && (from.domain == f.cut || to.domain == f.cut)) {
 		return
 	}
-	f.after(messageTime, func() { f.on(to, do) })
+	delay := messageTime
+	if from == f.slow || to == f.slow {
+		delay = slowTime
+	}
+	f.after(delay, func() { f.on(to, do) })
 }
 
 // call has a host serve a call; done gets nil if no answer comes in time.
@@ -127,6 +134,9 @@
 			done(answer)
 		}
 	}
+	if to.down {
+		limit = messageTime // the connection is refused
+	}
 	f.after(limit, func() { f.on(from, func() { finish(nil) }) })
 	f.message(from, to, func() { serve(func(answer any) { f.message(to, from, func() { finish(answer) }) }) })
 }
@@ -156,14 +166,13 @@
 	return Position{Domains: len(f.domains), Substitute: f.order(n, n.domain)[0] != n}
 }
 
-// answer serves a message at a host, which passes it on unless the hosts before it are lost.
-func (f *fleet) answer(c *node, serve func(keeper *node, reply func(any)), reply func(any)) {
-	for _, before := range f.order(c, c.domain) {
+// answer serves a message at a host unless one of those before it, from a rank on, does.
+func (f *fleet) answer(c *node, rank int, serve func(keeper *node, reply func(any)), reply func(any)) {
+	for i, before := range f.order(c, c.domain) {
 		if before == c {
 			break
 		}
-		lost, retry := c.contacts.Lost(f.clock(c), before.key)
-		if !retry {
+		if i < rank || c.contacts.Lost(f.clock(c), before.key) {
 			continue
 		}
 		f.call(c, before, relayLimit, func(answer func(any)) { serve(before, answer) }, func(answer any) {
@@ -174,9 +183,7 @@
 				return
 			}
 			c.contacts.Silent(f.clock(c), before.key, before.down)
-			if lost || before.down {
-				f.answer(c, serve, reply)
-			}
+			f.answer(c, i+1, serve, reply)
 		})
 		return
 	}
@@ -200,7 +207,7 @@
 	}
 	lender := f.first(c, domain)
 	lend := func(n *node, reply func(any)) { reply(n.rationer.Lend(f.clock(n), f.position(n), loan)) }
-	f.call(c, lender, relayLimit, func(reply func(any)) { f.answer(lender, lend, reply) }, func(answer any) {
+	f.call(c, lender, relayLimit, func(reply func(any)) { f.answer(lender, 0, lend, reply) }, func(answer any) {
 		if answer == nil {
 			c.contacts.Silent(f.clock(c), lender.key, lender.down)
 			c.rationer.NotLent(f.clock(c), ask.Organisation, domain)
@@ -261,9 +268,9 @@
 		end(nil)
 	case to == n:
 		// Nobody may answer: this host doesn't keep the bucket yet.
-		f.call(n, n, callLimit, func(reply func(any)) { f.answer(n, f.allot(ask), reply) }, end)
+		f.call(n, n, callLimit, func(reply func(any)) { f.answer(n, 0, f.allot(ask), reply) }, end)
 	default:
-		f.call(n, to, callLimit, func(reply func(any)) { f.answer(to, f.allot(ask), reply) }, func(answer any) {
+		f.call(n, to, callLimit, func(reply func(any)) { f.answer(to, 0, f.allot(ask), reply) }, func(answer any) {
 			if answer == nil {
 				n.contacts.Silent(f.clock(n), to.key, to.down)
 				f.ask(n, ask, asked, tried+1)
