--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -358,8 +358,8 @@
 		e.stepVetting(now, item)
 	case evidenceWritten, evidenceLost:
 		e.stepEvidence(now, item)
-	case policyChange, tableChanged:
-		e.stepSettings(now, item)
+	case policyChange:
+		e.machine.Reconfigure(item.cfg)
 	case requestsEnd:
 		e.act(e.machine.Step(now, &scatterer.Stopped{}))
 	}
@@ -379,16 +379,6 @@
 	}
 }
 
-// stepSettings handles changes of the host's settings and of the configuration.
-func (e *engine) stepSettings(now time.Time, item event) {
-	switch item := item.(type) {
-	case policyChange:
-		e.machine.Reconfigure(item.cfg)
-	case tableChanged:
-		e.withdrawKeys(now, item.table)
-	}
-}
-
 // ended records the answer of an attempt and returns the scatterer's event for it,
 // or nil if nothing waits for the answer.
 func (e *engine) ended(item attemptEnd) *scatterer.AttemptEnded {
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -58,6 +58,7 @@
 	}
 	failure = f.recheck(a)
 	if failure != nil {
+		f.returnQuota(a)
 		f.refuse(w, a, failure)
 		return
 	}
