internal/forwarder: the buffers of all bodies are bounded together

Buffers above 4 KB and up to 64 KB now share 16 MB, those above their 16 MB as before; bodies up to 4 KB are always read. A buffer grows with what has arrived and not with what is announced. A caller's body counts until its request has ended, as it is held until then. Answers have a reader of their own, so that callers' bodies don't keep an answer from being read. A caller whose body finds no room gets 503 with Retry-After; the request has not run.

--- a/internal/forwarder/bodies.go
+++ b/internal/forwarder/bodies.go
@@ -11,13 +11,18 @@
 	// answer. A larger body is a fault of the sender.
 	maxBodyBytes = 8 << 20
 	// unbudgetedBodyBytes is the buffer size up to which a body doesn't count
-	// against largeBodyBudget. It holds tens of typical answers; 300 simultaneous
-	// bodies of this size take 19 MB.
+	// against largeBodyBudget. It holds tens of typical answers.
 	unbudgetedBodyBytes = 64 << 10
+	// smallBodyBytes is the buffer size up to which a body counts against no budget. It
+	// holds a typical body; 3,900 connections with one each take 16 MB.
+	smallBodyBytes = 4 << 10
+	// mediumBodyBudget is the number of bytes that all buffers above smallBodyBytes and up
+	// to unbudgetedBodyBytes may take together, an eighth of the memory of the smallest
+	// planned hosts (136 MB).
+	mediumBodyBudget = 16 << 20
 	// largeBodyBudget is the number of bytes that all larger buffers may take
 	// together while bodies are read. It fits two buffers of the maximum size, since
-	// a body is held twice while its buffer grows, and is a tenth of the memory of
-	// the smallest planned hosts (184 MB).
+	// a body is held twice while its buffer grows.
 	largeBodyBudget = 2*maxBodyBytes + unbudgetedBodyBytes
 	// initialBodyBuffer is the initial buffer size, in bytes, for a body of unknown
 	// length.
@@ -27,49 +32,82 @@
 // Errors returned by bodyReader.read.
 var (
 	errBodyTooLarge        = errors.New("the body exceeds its limit")
-	errBodyBudgetExhausted = errors.New("large bodies take all the memory that they may")
+	errBodyBudgetExhausted = errors.New("bodies take all the memory that they may")
 )
 
-// bodyReader reads whole bodies and bounds the memory that large ones take
-// together, so that senders of endless bodies can't exhaust the memory of a host.
+// bodyReader reads whole bodies and bounds the memory that they take together, so that
+// senders of endless or slow bodies can't exhaust the memory of a host. Small bodies are
+// always read. Bodies of callers and answers to this host have one reader each, so that
+// callers can't keep a server's answer from being read.
 type bodyReader struct {
 	// reserved is the total size in bytes of the buffers larger than
-	// unbudgetedBodyBytes.
+	// unbudgetedBodyBytes, medium that of the others larger than smallBodyBytes.
 	reserved atomic.Int64
+	medium   atomic.Int64
+}
+
+// reserve counts a buffer of a size against its budget, or reports that this is used up.
+func (b *bodyReader) reserve(size int64) bool {
+	held, budget := &b.medium, int64(mediumBodyBudget)
+	switch {
+	case size <= smallBodyBytes:
+		return true
+	case size > unbudgetedBodyBytes:
+		held, budget = &b.reserved, largeBodyBudget
+	}
+	if held.Add(size) > budget {
+		held.Add(-size)
+		return false
+	}
+	return true
+}
+
+// release takes back what reserve has counted.
+func (b *bodyReader) release(size int64) {
+	switch {
+	case size <= smallBodyBytes:
+	case size > unbudgetedBodyBytes:
+		b.reserved.Add(-size)
+	default:
+		b.medium.Add(-size)
+	}
 }
 
 // read reads a body of at most limit bytes; length is the Content-Length, or -1 if
 // unknown.
 func (b *bodyReader) read(r io.Reader, length, limit int64) ([]byte, error) {
+	body, release, err := b.hold(r, length, limit)
+	release()
+	return body, err
+}
+
+// hold reads a body as read does. Its buffer counts until release is called, once.
+func (b *bodyReader) hold(r io.Reader, length, limit int64) (body []byte, release func(), err error) {
 	var held int64
-	defer func() { b.reserved.Add(-held) }()
-	buf := make([]byte, 0, min(max(length+1, initialBodyBuffer), unbudgetedBodyBytes))
+	release = func() { b.release(held) }
+	// The buffer grows with what has arrived, as a sender may announce more than it sends.
+	buf := make([]byte, 0, min(max(length+1, initialBodyBuffer), smallBodyBytes))
 	for {
 		n, err := r.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		switch {
 		case int64(len(buf)) > limit:
-			return nil, errBodyTooLarge
+			return nil, release, errBodyTooLarge
 		case errors.Is(err, io.EOF):
-			return buf, nil
+			return buf, release, nil
 		case err != nil:
-			return nil, err
+			return nil, release, err
 		case len(buf) < cap(buf):
 			continue
 		}
 		// One byte beyond the limit is enough to detect a body that is too large.
-		size := min(int64(2*cap(buf)), limit+1)
-		if size <= unbudgetedBodyBytes {
-			buf = append(make([]byte, 0, size), buf...)
-			continue
-		}
-		if b.reserved.Add(size) > largeBodyBudget {
-			b.reserved.Add(-size)
-			return nil, errBodyBudgetExhausted
+		size := min(max(int64(2*cap(buf)), min(length+1, unbudgetedBodyBytes)), limit+1)
+		if !b.reserve(size) {
+			return nil, release, errBodyBudgetExhausted
 		}
 		buf = append(make([]byte, 0, size), buf...)
 		// The smaller buffer has been released.
-		b.reserved.Add(-held)
+		b.release(held)
 		held = size
 	}
 }
--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -61,6 +61,7 @@
 		c.set.NewGauge("rhubarbpost_"+name, func() float64 { return float64(value()) })
 	}
 	gauge("requests_in_flight", func() float64 { return float64(f.callers.InFlight()) })
+	gauge("caller_body_buffer_bytes", func() float64 { return float64(f.bodies.reserved.Load() + f.bodies.medium.Load()) })
 	gauge("server_connections_open", func() float64 { return float64(f.client.connsOpen.Load()) })
 	counter("server_connections_opened_total", f.client.connsOpened.Load)
 	gauge("config_age_seconds", func() float64 { return ageSeconds(&f.configConfirmed) })
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -74,6 +74,7 @@
 // delegate sends queries over many shards to gathering hosts.
 type delegate struct {
 	transport *http.Transport
+	bodies    *bodyReader
 
 	// mu guards the fields below.
 	mu     sync.Mutex
@@ -92,6 +93,7 @@
 	placing := cfg.Settings.scatterer().Placer
 	placing.ObservationMaxAge = gathererFailureWindow
 	return &delegate{
+		bodies: &bodyReader{},
 		plans:  make(map[int]delegator.Plan),
 		tiers:  make(map[relayKind][]relayer.Tier),
 		placer: placer.New(placing),
@@ -375,7 +377,7 @@
 
 // readGathered reads the answer of another host, or returns why that host has declined.
 func (f *Forwarder) readGathered(response *http.Response, host *lister.Server) (*Answer, error) {
-	body, err := f.bodies.read(response.Body, response.ContentLength, maxBodyBytes)
+	body, err := f.delegate.bodies.read(response.Body, response.ContentLength, maxBodyBytes)
 	declined := response.Header.Get(declinedHeader)
 	switch {
 	case err != nil:
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -62,9 +62,10 @@
 
 // Forwarder serves the callers of one host.
 type Forwarder struct {
-	cfg      Config
-	metrics  *counters
-	client   *client
+	cfg     Config
+	metrics *counters
+	client  *client
+	// bodies reads the bodies of callers; delegate has the one for answers.
 	bodies   *bodyReader
 	delegate *delegate
 	tokens   *tokenBroker
@@ -120,12 +121,12 @@
 
 // New opens the listeners and starts following the store.
 func New(cfg Config) (*Forwarder, error) {
-	b := &bodyReader{}
+	d := newDelegate(cfg)
 	f := &Forwarder{
-		cfg: cfg, metrics: newCounters(), client: newClient(cfg.Dialect, b, cfg.Settings.Translate), bodies: b,
+		cfg: cfg, metrics: newCounters(), client: newClient(cfg.Dialect, d.bodies, cfg.Settings.Translate), bodies: &bodyReader{},
 		objects: cacher.New(), eras: newEras(), source: watcher.NewSource(cfg.Settings.sourceConfig()),
 	}
-	f.delegate, f.tokens = newDelegate(cfg), newTokenBroker()
+	f.delegate, f.tokens = d, newTokenBroker()
 	f.settings.Store(&cfg.Settings)
 	f.room = newRoom(f.self())
 	f.store.Store(&openStore{f.connect(cfg.Settings.Store), cfg.Settings.Store})
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -18,7 +19,7 @@
 const (
 	// transientRetryAfter is the Retry-After for conditions that soon end: no
 	// configuration yet, a configuration that may be out of date, or no memory left
-	// for large bodies.
+	// for bodies.
 	transientRetryAfter = 300 * time.Millisecond
 	// configStaleAge is a limit on the time since the store last confirmed the
 	// configuration. Beyond it, a route that is not found may exist in a newer
@@ -154,7 +155,9 @@
 	control := http.NewResponseController(w)
 	// Setting a deadline can't fail on a connection of net/http.
 	_ = control.SetReadDeadline(time.Now().Add(left))
-	body, err := f.bodies.read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
+	body, release, err := f.bodies.hold(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
+	// The context of a request of net/http ends when its handler returns.
+	context.AfterFunc(r.Context(), release)
 	if err == nil {
 		// On an error the deadline stays, so that net/http doesn't wait for the rest of
 		// the body.
