--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -54,8 +54,10 @@
 	// Capacity is the host's processor capacity in cores.
 	Capacity float64 `json:"capacity"`
 	// Link is the bandwidth of the host's link in Mbit/s, 0 if unknown.
-	Link   float64 `json:"link"`
-	Listen Listen  `json:"listen"`
+	Link float64 `json:"link"`
+	// Memory is the memory that the process may use in MB, 0 if unknown.
+	Memory int    `json:"memory"`
+	Listen Listen `json:"listen"`
 	// Seeds are control addresses of hosts that may be running.
 	Seeds []string `json:"seeds"`
 	// Translate has the IP addresses of backend servers that this host reaches at other
@@ -187,6 +189,7 @@
 	c.require(s.Domain != "", "missing", "a name", "domain")
 	c.require(s.Capacity > 0, "not positive", "more than 0", "capacity")
 	c.require(s.Link >= 0, "negative", "0 or more", "link")
+	c.require(s.Memory >= 0, "negative", "0 or more", "memory")
 	c.address(s.Listen.Callers, "listen", "callers")
 	c.address(s.Listen.Readiness, "listen", "readiness")
 	c.address(s.Listen.Control, "listen", "control")
--- a/internal/lab/standin/site.go
+++ b/internal/lab/standin/site.go
@@ -227,6 +227,8 @@
 	Burst int
 	// Link is the IP address at which the host reaches the backend servers, empty for theirs.
 	Link string
+	// Memory is the memory that the host may use in MB, 0 if unknown.
+	Memory int
 }
 
 // Write writes the settings file of a host.
@@ -236,7 +238,7 @@
 		translate["127.0.0.1"] = h.Link
 	}
 	data, err := json.MarshalIndent(map[string]any{
-		"name": h.Name, "translate": translate, "domain": h.Domain, "capacity": 1,
+		"name": h.Name, "translate": translate, "domain": h.Domain, "capacity": 1, "memory": h.Memory,
 		"listen": map[string]any{"callers": loopback(h.Port), "readiness": loopback(h.Port + 1), "control": loopback(h.Port + 2), "metrics": loopback(h.Port + 3)},
 		"seeds":  []string{loopback(h.Seed)}, "store": h.Store, "extra": map[string]any{"ratio": 0.2, "burst": h.Burst, "window": "10s"},
 		"grace": "6s", "log": map[string]any{"level": "info", "format": "json", "bytesPerSecond": 65536},
--- a/internal/lab/starter/soak_test.go
+++ b/internal/lab/starter/soak_test.go
@@ -58,6 +58,8 @@
 	ips []string
 	// domains is the number of failure domains of the hosts.
 	domains int
+	// memory is the memory of each host in MB, 0 if unknown.
+	memory int
 	// basePorts holds the port for callers of each host; the next three ports are for
 	// readiness, control and metrics.
 	basePorts []int
@@ -203,7 +205,7 @@
 func (s *soak) writeSettings(i, burst int) {
 	err := standin.HostSettings{
 		Name: hostName(i), Domain: fmt.Sprint("d", 1+i%s.domains), Port: s.basePorts[i], Seed: s.basePorts[0] + 2,
-		Store: s.stores[i], Burst: burst, Link: s.ips[i],
+		Store: s.stores[i], Burst: burst, Link: s.ips[i], Memory: s.memory,
 	}.Write(s.settingsFiles[i])
 	if err != nil {
 		s.t.Error(err)
