internal/transport/listener: the heads of all requests are bounded together

Cause: net/http parses each head into a map while it is read, at over a hundred bytes a line of three; the host copied it when it accepted the request and again, with all values, for each attempt. Change: a connection follows the bytes of its heads before they are parsed and reserves their cost from one bound of all listeners, an eighth of the host's memory (settings, 16 MB by default). Copies for attempts share the values and take a share of a second bound, in turn. The control listener takes heads that grow when they are passed on; an answer there without a receipt refuses the head and counts as declined. The garbage collector knows the memory of the host. Log event 600, metrics of refusals and of the bound.

TestDocs now lists the limits of the listener, so that each needs a comment.

--- a/cmd/rhubarbpost/cmds/host.go
+++ b/cmd/rhubarbpost/cmds/host.go
@@ -25,6 +25,9 @@
 	// gcPercent is below the default of 100: memory is scarce on the hosts, so
 	// more CPU time is spent on garbage collection to keep the heap small.
 	gcPercent = 40
+	// memoryLimitShare is the fraction of a host's memory from which on garbage is collected
+	// more often; the rest is for stacks and for what the kernel holds.
+	memoryLimitShare = 0.8
 )
 
 // addHost adds the command that serves callers on the prepared platform.
@@ -61,6 +64,9 @@
 		return &exitError{code: exiter.Invalid, cause: err}
 	}
 	debug.SetGCPercent(gcPercent)
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.Memory<<20)))
+	}
 	limiter := logger.NewLimiter(t.stdout, settings.Log.BytesPerSecond)
 	defer limiter.Close()
 	cfg := settings.Log.Config
--- a/cmd/rhubarbpost/cmds/limits_test.go
+++ b/cmd/rhubarbpost/cmds/limits_test.go
@@ -18,7 +18,7 @@
 // limitPackages are the packages that hold the timeouts, limits, weights and
 // thresholds of a host.
 var limitPackages = []string{
-	"internal/forwarder", "internal/reloader", "internal/logger",
+	"internal/forwarder", "internal/reloader", "internal/logger", "internal/transport/listener",
 	"pkg/coordination/scatterer", "pkg/coordination/placer", "pkg/coordination/watcher",
 	"pkg/coordination/assessor", "pkg/coordination/delegator", "pkg/coordination/relayer", "pkg/coordination/vetter",
 }
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -48,13 +49,18 @@
 	connBufferBytes = 2 << 10
 )
 
+var errNoRoomForHead = errors.New("copies of large headers take all the memory that they may")
+
 // outbound holds what all attempts of a request have in common.
 type outbound struct {
 	method string
 	url    *url.URL
 	host   string
+	// header is shared by all attempts and must not be modified.
 	header http.Header
-	body   []byte
+	// copyCost is the memory in bytes that a copy of the header takes, 0 if it is small.
+	copyCost int64
+	body     []byte
 }
 
 // client exchanges requests with backend servers.
@@ -62,6 +68,8 @@
 	transport *http.Transport
 	dialect   Dialect
 	bodies    *bodyReader
+	// copies bounds the memory of the copies of large headers in attempts.
+	copies *shares
 	// connsOpened counts the connections opened so far; connsOpen is the number that
 	// are open now, in use or idle.
 	connsOpened *atomic.Uint64
@@ -124,8 +132,8 @@
 	return c.requestConn.Close()
 }
 
-func newClient(dialect Dialect, b *bodyReader, translate map[string]string) *client {
-	c := &client{dialect: dialect, bodies: b, translate: translate, connsOpened: new(atomic.Uint64), connsOpen: new(atomic.Int64), dials: newDialRegistry()}
+func newClient(dialect Dialect, b *bodyReader, copies *shares, translate map[string]string) *client {
+	c := &client{dialect: dialect, bodies: b, copies: copies, translate: translate, connsOpened: new(atomic.Uint64), connsOpen: new(atomic.Int64), dials: newDialRegistry()}
 	dial := c.dials.register(dialer(dialTimeout))
 	c.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -175,12 +183,13 @@
 // Close does nothing.
 func (*unrewindableBody) Close() error { return nil }
 
-// request returns the HTTP request for one attempt at a server. net/http can't resend it.
+// request returns the HTTP request for one attempt at a server, with a header of its own whose
+// values are shared. net/http can't resend it.
 func (o outbound) request(ctx context.Context, server *lister.Server) *http.Request {
 	target := *o.url
 	target.Scheme, target.Host = "http", server.Address
 	r := &http.Request{
-		Method: o.method, URL: &target, Host: o.host, Header: o.header.Clone(),
+		Method: o.method, URL: &target, Host: o.host, Header: maps.Clone(o.header),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Body: emptyBody{},
 	}
 	if len(o.body) > 0 {
@@ -192,6 +201,10 @@
 
 // exchange sends a request to a server and reads the whole answer.
 func (c *client) exchange(ctx context.Context, call Call, out outbound, server *lister.Server, deadline time.Time) *Answer {
+	if !c.copies.take(ctx, out.copyCost) {
+		return &Answer{Code: classifier.NotSent, Err: errNoRoomForHead}
+	}
+	defer c.copies.give(out.copyCost)
 	var conn atomic.Pointer[countedConn]
 	var writtenBefore atomic.Int64
 	evidence := detector.Response
--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -62,6 +62,7 @@
 	}
 	gauge("requests_in_flight", func() float64 { return float64(f.callers.InFlight()) })
 	gauge("caller_body_buffer_bytes", func() float64 { return float64(f.bodies.reserved.Load() + f.bodies.medium.Load()) })
+	gauge("request_head_bytes", func() float64 { return float64(f.heads.Used()) })
 	gauge("server_connections_open", func() float64 { return float64(f.client.connsOpen.Load()) })
 	counter("server_connections_opened_total", f.client.connsOpened.Load)
 	gauge("config_age_seconds", func() float64 { return ageSeconds(&f.configConfirmed) })
@@ -109,6 +110,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_requests_refused_total{result=%q}", code)).Inc()
 }
 
+// headRefused records a head that was refused, by the status of the refusal.
+func (c *counters) headRefused(status int) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_heads_refused_total{status=\"%d\"}", status)).Inc()
+}
+
 // sent records an attempt by its reason and by whether the server is in the host's
 // own failure domain.
 func (c *counters) sent(reason scatterer.Reason, own bool) {
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -349,17 +349,15 @@
 		}
 	})
 	defer receiptTimer.Stop()
-	out := a.outbound
-	out.header = out.header.Clone()
-	out.header.Set(delegationHeader, strconv.FormatUint(a.version, 10))
-	out.header.Set("Expect", "100-continue")
-	out.header.Set(spentHeader, strconv.FormatInt(time.Since(a.received).Milliseconds(), 10))
-	f.cfg.Dialect.SetRemaining(out.header, time.Until(a.expires))
+	r := a.outbound.request(ctx, host)
+	r.Header.Set(delegationHeader, strconv.FormatUint(a.version, 10))
+	r.Header.Set("Expect", "100-continue")
+	r.Header.Set(spentHeader, strconv.FormatInt(time.Since(a.received).Milliseconds(), 10))
+	f.cfg.Dialect.SetRemaining(r.Header, time.Until(a.expires))
 	for name, value := range headers {
-		out.header.Set(name, value)
+		r.Header.Set(name, value)
 	}
-	r := out.request(ctx, host)
-	body := slices.Concat([]byte{proceedByte}, out.body)
+	body := slices.Concat([]byte{proceedByte}, a.outbound.body)
 	r.Body, r.ContentLength = &proceedBody{unrewindableBody{body}, &gate}, int64(len(body))
 	response, err := f.delegate.transport.RoundTrip(r)
 	receiptTimer.Stop()
@@ -367,6 +365,10 @@
 	if err == nil {
 		answer, err = f.readGathered(response, host)
 		_ = response.Body.Close()
+		if err == nil && gate.close() {
+			// An answer without a receipt refuses the head, before the other host has begun.
+			answer, err = nil, errNotGathered
+		}
 	}
 	declined := errors.Is(err, errNotGathered)
 	if err == nil || declined || !gate.close() || NeverConnected(err) || errors.Is(err, errNoReceipt) {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -68,9 +68,11 @@
 	// bodies reads the bodies of callers; delegate has the one for answers.
 	bodies   *bodyReader
 	delegate *delegate
-	tokens   *tokenBroker
-	room     *room
-	engine   *engine
+	// heads bounds the memory of the heads of requests.
+	heads  *listener.Heads
+	tokens *tokenBroker
+	room   *room
+	engine *engine
 	// listeners are those for readiness, metrics and other hosts; callers is the one
 	// for callers.
 	listeners []*listener.Listener
@@ -123,10 +125,11 @@
 func New(cfg Config) (*Forwarder, error) {
 	d := newDelegate(cfg)
 	f := &Forwarder{
-		cfg: cfg, metrics: newCounters(), client: newClient(cfg.Dialect, d.bodies, cfg.Settings.Translate), bodies: &bodyReader{},
+		cfg: cfg, metrics: newCounters(), client: newClient(cfg.Dialect, d.bodies, newShares(headBudget(cfg.Settings)), cfg.Settings.Translate), bodies: &bodyReader{},
 		objects: cacher.New(), eras: newEras(), source: watcher.NewSource(cfg.Settings.sourceConfig()),
 	}
 	f.delegate, f.tokens = d, newTokenBroker()
+	f.heads = listener.NewHeads(headBudget(cfg.Settings), (&headRefusals{f: f}).add)
 	f.settings.Store(&cfg.Settings)
 	f.room = newRoom(f.self())
 	f.store.Store(&openStore{f.connect(cfg.Settings.Store), cfg.Settings.Store})
@@ -176,15 +179,16 @@
 	for _, side := range []struct {
 		address *string
 		handler http.Handler
-	}{{&addresses.Readiness, mux}, {&addresses.Metrics, exported}, {&addresses.Control, f.serveControl(calls)}} {
-		l, err := listener.New(listener.Config{Address: *side.address, Handler: side.handler})
+		peers   bool
+	}{{&addresses.Readiness, mux, false}, {&addresses.Metrics, exported, false}, {&addresses.Control, f.serveControl(calls), true}} {
+		l, err := listener.New(listener.Config{Address: *side.address, Handler: side.handler, PeerFacing: side.peers, Heads: f.heads})
 		if err != nil {
 			return err
 		}
 		f.listeners = append(f.listeners, l)
 		*side.address = l.Address()
 	}
-	l, err := listener.New(listener.Config{Address: addresses.Callers, Handler: f, CallerFacing: true})
+	l, err := listener.New(listener.Config{Address: addresses.Callers, Handler: f, CallerFacing: true, Heads: f.heads})
 	if err != nil {
 		return err
 	}
@@ -206,11 +210,11 @@
 }
 
 // Reload puts changed settings in force without interrupting requests. Name,
-// failure domain, capacity, link, bounds, listeners and log keep their values until a restart.
+// failure domain, capacity, link, memory, bounds, listeners and log keep their values until a restart.
 func (f *Forwarder) Reload(next Settings) {
 	held := f.Settings()
 	next.Name, next.Domain, next.Listen, next.Log = held.Name, held.Domain, held.Listen, held.Log
-	next.Capacity, next.Link, next.Bounds = held.Capacity, held.Link, held.Bounds
+	next.Capacity, next.Link, next.Memory, next.Bounds = held.Capacity, held.Link, held.Memory, held.Bounds
 	f.settings.Store(&next)
 	f.engine.push(policyChange{next.scatterer()})
 	old := f.store.Load()
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -119,14 +119,15 @@
 	}
 	a.id = f.lastRequest.Add(1)
 	a.budgetShare = f.budgetShare(route)
-	header := r.Header.Clone()
+	// net/http doesn't use the header any more; a copy of a large one would be dear.
+	header := r.Header
 	removeConnectionHeaders(header)
 	removeOwnHeaders(header)
 	_, ok = header["User-Agent"]
 	if !ok {
 		header["User-Agent"] = nil
 	}
-	a.outbound = outbound{method: r.Method, url: r.URL, host: r.Host, header: header, body: body}
+	a.outbound = outbound{method: r.Method, url: r.URL, host: r.Host, header: header, copyCost: copyCost(header), body: body}
 	a.fingerprint = vetter.Identity{Method: r.Method, Host: call.Host, Target: r.RequestURI, Caller: call.Caller, Body: body}.Fingerprint()
 	return a, nil
 }
--- /dev/null
+++ b/internal/forwarder/heads.go
@@ -0,0 +1,130 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
+)
+
+const (
+	// headMemoryShare is the fraction of a host's memory for the heads of requests, and as much
+	// again for their copies in attempts.
+	headMemoryShare = 0.125
+	// minHeadBudget is the least memory in bytes for either, more than one head can take.
+	minHeadBudget = 2 << 20
+	// headerNameCopy is the memory in bytes that each name of a header takes in the copy for an
+	// attempt and while that is written; values are shared.
+	headerNameCopy = 128
+	// smallHeaderNames is the number of names up to which copies count against no budget.
+	smallHeaderNames = 40
+	// headLogInterval is the least time between two log lines on refused heads.
+	headLogInterval = time.Second
+)
+
+// headBudget returns the memory in bytes for the heads of requests.
+func headBudget(s Settings) int64 {
+	if s.Memory == 0 {
+		return listener.DefaultHeadBudget
+	}
+	return max(int64(headMemoryShare*float64(s.Memory<<20)), minHeadBudget)
+}
+
+// copyCost returns the memory in bytes that a copy of a header takes, or 0 if it is small.
+func copyCost(h http.Header) int64 {
+	if len(h) <= smallHeaderNames {
+		return 0
+	}
+	return int64(len(h)) * headerNameCopy
+}
+
+// headRefusals counts refused heads and logs some of them.
+type headRefusals struct {
+	f *Forwarder
+
+	mu       sync.Mutex
+	unlogged int
+	loggedAt time.Time
+}
+
+func (h *headRefusals) add(refusal listener.HeadRefusal) {
+	h.f.metrics.headRefused(refusal.Status)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.unlogged++
+	now := time.Now()
+	if now.Sub(h.loggedAt) < headLogInterval {
+		return
+	}
+	h.f.cfg.Logger.Warn(logger.HeadRefused, "client", refusal.Client, "status", refusal.Status, "lines", refusal.Lines, "bytes", refusal.Bytes,
+		"cost", refusal.Cost, "used", refusal.Used, "budget", headBudget(h.f.cfg.Settings), "refused", h.unlogged)
+	h.unlogged, h.loggedAt = 0, now
+}
+
+// shares divides an amount of memory among goroutines, which get it in the order in which they
+// ask.
+type shares struct {
+	mu      sync.Mutex
+	left    int64
+	waiting []*shareAsk
+}
+
+type shareAsk struct {
+	amount  int64
+	granted chan struct{}
+}
+
+func newShares(amount int64) *shares { return &shares{left: amount} }
+
+// take waits until an amount is free, at most for as long as the context. It reports whether it
+// was taken; give returns it then. An amount of 0 is never waited for.
+func (s *shares) take(ctx context.Context, amount int64) bool {
+	if amount == 0 {
+		return true
+	}
+	ask := &shareAsk{amount: amount, granted: make(chan struct{})}
+	s.mu.Lock()
+	s.waiting = append(s.waiting, ask)
+	s.grant()
+	s.mu.Unlock()
+	select {
+	case <-ask.granted:
+		return true
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, other := range s.waiting {
+		if other == ask {
+			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+			// Those behind it may need less.
+			s.grant()
+			return false
+		}
+	}
+	// It was granted at the same time.
+	return true
+}
+
+// give returns an amount.
+func (s *shares) give(amount int64) {
+	if amount == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.left += amount
+	s.grant()
+}
+
+// grant serves those first in line. The caller holds s.mu.
+func (s *shares) grant() {
+	for len(s.waiting) > 0 && s.waiting[0].amount <= s.left {
+		s.left -= s.waiting[0].amount
+		close(s.waiting[0].granted)
+		s.waiting = s.waiting[1:]
+	}
+}
--- a/internal/lab/starter/headers_test.go
+++ b/internal/lab/starter/headers_test.go
@@ -28,6 +28,8 @@
 	crowdHeadBytes = 16_000
 	// crowdShards is the number of shards of a query.
 	crowdShards = 48
+	// crowdPeers is the number of other hosts in calm.
+	crowdPeers = 3
 	// crowdTrickles is the number of lines that follow one by one after an unfinished head.
 	crowdTrickles = 20
 )
@@ -126,6 +128,41 @@
 	is.Equal(c.hosts[0].Stop(t), 0) // the process has not ended by itself
 }
 
+// TestAHeadOfManyLinesIsServedInCalm sends one request after another with heads of legal size over
+// all shards of a query, to hosts that pass queries on to each other.
+func TestAHeadOfManyLinesIsServedInCalm(t *testing.T) {
+	is := is.New(t)
+	s := crowdSoak(t)
+	for range crowdPeers {
+		s.addHost(s.store.Address())
+	}
+	s.waitReady()
+	for i, line := range append(oddLines[:4:4], func(i int) string { return shortName(i) + ":\r\n" }) {
+		lines := headLines(line)
+		Eventually(t, "a query with many header lines is served in whole", func() bool {
+			conn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", fmt.Sprint("127.0.0.1:", s.basePorts[i%len(s.hosts)]))
+			if err != nil {
+				return false
+			}
+			defer func() { _ = conn.Close() }()
+			_, err = fmt.Fprintf(conn, "GET /q/%d HTTP/1.1\r\nHost: %s\r\nX-Request-Id: calm-%d\r\nX-Deadline-Ms: 3000\r\n%s\r\n", i, soakHostname, i, lines)
+			if err != nil {
+				return false
+			}
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				return false
+			}
+			_ = response.Body.Close()
+			return response.StatusCode == http.StatusOK && response.Header.Get("X-Missing-Parts") == "0"
+		})
+	}
+	for i := range s.hosts {
+		is.True(!strings.Contains(s.hosts[i].Logs(), "headRefused"))
+		is.Equal(s.hosts[i].Stop(t), 0)
+	}
+}
+
 // send sends the request of member i and waits for the answer or the end of the connection.
 func (c crowd) send(conn net.Conn, i int) {
 	head := fmt.Sprintf("POST %s%d HTTP/1.1\r\nHost: %s\r\nX-Request-Id: crowd-%d\r\nX-Deadline-Ms: 3000\r\n", c.path, i, soakHostname, i)
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -88,6 +88,7 @@
 	VerdictDecided       Event = 554
 	EvidenceUnsaved      Event = 555
 	EvidenceUnread       Event = 556
+	HeadRefused          Event = 600
 )
 
 // Definition describes one log event.
@@ -165,6 +166,7 @@
 	{VerdictDecided, "verdictDecided", "An operator has lifted the verdict on a request, or blocked the request."},
 	{EvidenceUnsaved, "evidenceUnsaved", "The evidence of this host against requests could not be written to the store; it is written again."},
 	{EvidenceUnread, "evidenceUnread", "Evidence against requests could not be read from the store; the rest is used."},
+	{HeadRefused, "headRefused", "The head of a request was refused before it was read in full, or before the request was begun, as it has too many lines or the heads of all requests take all their memory; the line counts those refused since the last such line."},
 }
 
 // Catalogue returns the definitions of all log events in ascending order.
--- a/internal/transport/listener/answers.go
+++ b/internal/transport/listener/answers.go
@@ -14,6 +14,7 @@
 )
 
 const (
+	// maxRequestIDLength bounds the IDs of requests that are taken over, in bytes.
 	maxRequestIDLength = 128
 	// problemTypePrefix is the prefix of problem types; the number of the code follows.
 	problemTypePrefix = "urn:rhubarbpost:code:"
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -13,12 +13,18 @@
 )
 
 const (
+	// readHeaderTimeout limits the time to read a head, readTimeout that to read a request.
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = 30 * time.Second
 	// writeTimeout is longer than the longest deadline that a service document allows.
-	writeTimeout   = 5 * time.Minute
-	idleTimeout    = 90 * time.Second
+	writeTimeout = 5 * time.Minute
+	// idleTimeout is how long an idle connection of another host is kept.
+	idleTimeout = 90 * time.Second
+	// maxHeaderBytes is the size limit of a head, that of the platform's configurations.
 	maxHeaderBytes = 16 << 10
+	// peerHeaderBytes fits a head of a caller that another host passes on: a line of three bytes
+	// has five then, and that host adds lines of its own.
+	peerHeaderBytes = 40 << 10
 	// callerIdleTimeout is longer than any idle time that a configuration grants callers.
 	callerIdleTimeout = 5 * time.Minute
 )
@@ -34,6 +40,10 @@
 	// CallerFacing restricts the listener to HTTP/1.1 and keeps idle connections open
 	// for callerIdleTimeout.
 	CallerFacing bool
+	// PeerFacing admits heads of callers that other hosts pass on.
+	PeerFacing bool
+	// Heads bounds the memory of the heads, if it is set.
+	Heads *Heads
 }
 
 // ListenError reports that the socket of an address could not be opened.
@@ -83,6 +93,10 @@
 	}
 	l := &Listener{socket: socket, serveResult: make(chan error, 1)}
 	l.server = newServer(cfg, l.countInFlight(cfg.Handler))
+	if cfg.Heads != nil {
+		followHeads(l.server)
+		socket = &headListener{Listener: socket, heads: cfg.Heads, maxLines: l.server.MaxHeaderBytes/minHeaderLine + 1, peers: !cfg.CallerFacing}
+	}
 	go func() { l.serveResult <- l.server.Serve(socket) }()
 	return l, nil
 }
@@ -102,6 +116,9 @@
 		protocols.SetUnencryptedHTTP2(false)
 		server.IdleTimeout = callerIdleTimeout
 	}
+	if cfg.PeerFacing {
+		server.MaxHeaderBytes = peerHeaderBytes
+	}
 	if !cfg.Streaming {
 		server.ReadTimeout = readTimeout
 		server.WriteTimeout = writeTimeout
