internal/forwarder: callers' requests with large headers run in turn

Cause: each of the attempts that wait for a copy of a large header holds a goroutine and its request: 34 queries over 225 shards are 7,650 of them. Change: callers' requests with more than 40 header names run in turn, 256 sub-requests at a time. They wait for half of the caller's time at most, before their quota is charged, and are refused with 503 then, as not run. The memory of a host may be a fraction of a MB.

--- a/cmd/rhubarbpost/cmds/host.go
+++ b/cmd/rhubarbpost/cmds/host.go
@@ -65,7 +65,7 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	if settings.Memory > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.Memory<<20)))
+		debug.SetMemoryLimit(int64(memoryLimitShare * settings.Memory * (1 << 20)))
 	}
 	limiter := logger.NewLimiter(t.stdout, settings.Log.BytesPerSecond)
 	defer limiter.Close()
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -72,6 +72,8 @@
 	reply       chan reply
 	// organisation is the caller's, nil if the configuration has none or it isn't known.
 	organisation *matcher.Organisation
+	// largeHead is how much of Forwarder.largeHeads the request has.
+	largeHead int64
 	// delegated is true if another host has delegated the request, relay has the terms if it
 	// has sent it on.
 	delegated bool
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -69,10 +69,12 @@
 	bodies   *bodyReader
 	delegate *delegate
 	// heads bounds the memory of the heads of requests.
-	heads  *listener.Heads
-	tokens *tokenBroker
-	room   *room
-	engine *engine
+	heads *listener.Heads
+	// largeHeads bounds the sub-requests of requests with large headers.
+	largeHeads *shares
+	tokens     *tokenBroker
+	room       *room
+	engine     *engine
 	// listeners are those for readiness, metrics and other hosts; callers is the one
 	// for callers.
 	listeners []*listener.Listener
@@ -129,6 +131,7 @@
 		objects: cacher.New(), eras: newEras(), source: watcher.NewSource(cfg.Settings.sourceConfig()),
 	}
 	f.delegate, f.tokens = d, newTokenBroker()
+	f.largeHeads = newShares(largeHeadSubRequests)
 	f.heads = listener.NewHeads(headBudget(cfg.Settings), (&headRefusals{f: f}).add)
 	f.settings.Store(&cfg.Settings)
 	f.room = newRoom(f.self())
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -46,6 +46,10 @@
 	if failure == nil {
 		failure = f.limitToStop(a)
 	}
+	if failure == nil {
+		failure = f.awaitLargeHead(r.Context(), a)
+	}
+	defer f.endLargeHead(a)
 	if failure == nil {
 		failure = f.admit(r.Context(), a)
 	}
--- a/internal/forwarder/heads.go
+++ b/internal/forwarder/heads.go
@@ -8,6 +8,7 @@
 
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
+	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 )
 
 const (
@@ -21,6 +22,11 @@
 	headerNameCopy = 128
 	// smallHeaderNames is the number of names up to which copies count against no budget.
 	smallHeaderNames = 40
+	// largeHeadSubRequests is how many sub-requests of callers' requests with large headers run
+	// at the same time; a single request may have more.
+	largeHeadSubRequests = 256
+	// largeHeadWaitShare is the fraction of a caller's time for which its request waits for that.
+	largeHeadWaitShare = 0.5
 	// headLogInterval is the least time between two log lines on refused heads.
 	headLogInterval = time.Second
 )
@@ -30,7 +36,7 @@
 	if s.Memory == 0 {
 		return listener.DefaultHeadBudget
 	}
-	return max(int64(headMemoryShare*float64(s.Memory<<20)), minHeadBudget)
+	return max(int64(headMemoryShare*s.Memory*(1<<20)), minHeadBudget)
 }
 
 // copyCost returns the memory in bytes that a copy of a header takes, or 0 if it is small.
@@ -41,6 +47,28 @@
 	return int64(len(h)) * headerNameCopy
 }
 
+// awaitLargeHead lets a caller's request with a large header wait until it may run, or returns why
+// it is refused. endLargeHead ends its turn.
+func (f *Forwarder) awaitLargeHead(ctx context.Context, a *arrival) *classifier.Failure {
+	if a.outbound.copyCost == 0 {
+		return nil
+	}
+	wait := time.Duration(largeHeadWaitShare * float64(a.call.Remaining))
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	amount := int64(min(max(a.route.SubRequests(), 1), largeHeadSubRequests))
+	begun := time.Now()
+	if !f.largeHeads.take(ctx, amount) {
+		return classifier.NewFailure(classifier.Overloaded, "requests with large headers run in turn").WithRetryAfter(transientRetryAfter)
+	}
+	a.largeHead = amount
+	a.objectiveSpent += time.Since(begun)
+	a.call.Remaining -= time.Since(begun)
+	return nil
+}
+
+func (f *Forwarder) endLargeHead(a *arrival) { f.largeHeads.give(a.largeHead) }
+
 // headRefusals counts refused heads and logs some of them.
 type headRefusals struct {
 	f *Forwarder
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -56,8 +56,8 @@
 	// Link is the bandwidth of the host's link in Mbit/s, 0 if unknown.
 	Link float64 `json:"link"`
 	// Memory is the memory that the process may use in MB, 0 if unknown.
-	Memory int    `json:"memory"`
-	Listen Listen `json:"listen"`
+	Memory float64 `json:"memory"`
+	Listen Listen  `json:"listen"`
 	// Seeds are control addresses of hosts that may be running.
 	Seeds []string `json:"seeds"`
 	// Translate has the IP addresses of backend servers that this host reaches at other
