--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -75,6 +75,7 @@
 // delegate sends queries over many shards to gathering hosts.
 type delegate struct {
 	transport *http.Transport
+	bodies    *bodyReader
 
 	// mu guards the fields below.
 	mu     sync.Mutex
@@ -94,6 +95,7 @@
 	placing := cfg.Settings.scatterer().Placer
 	placing.ObservationMaxAge = gathererFailureWindow
 	return &delegate{
+		bodies: &bodyReader{},
 		plans:  make(map[int]delegator.Plan),
 		tiers:  make(map[relayKind][]relayer.Tier),
 		placer: placer.New(placing),
@@ -384,18 +386,16 @@
 		}
 	})
 	defer receiptTimer.Stop()
-	out := a.outbound
-	out.header = out.header.Clone()
-	out.header.Set(delegationHeader, strconv.FormatUint(a.version, 10))
-	out.header.Set("Expect", "100-continue")
-	out.header.Set(spentHeader, strconv.FormatInt(time.Since(a.received).Milliseconds(), 10))
-	a.identity.setHeader(out.header, a.organisationName())
-	f.cfg.Dialect.SetRemaining(out.header, time.Until(a.expires))
+	r := a.outbound.request(ctx, host)
+	r.Header.Set(delegationHeader, strconv.FormatUint(a.version, 10))
+	r.Header.Set("Expect", "100-continue")
+	r.Header.Set(spentHeader, strconv.FormatInt(time.Since(a.received).Milliseconds(), 10))
+	a.identity.setHeader(r.Header, a.organisationName())
+	f.cfg.Dialect.SetRemaining(r.Header, time.Until(a.expires))
 	for name, value := range headers {
-		out.header.Set(name, value)
+		r.Header.Set(name, value)
 	}
-	r := out.request(ctx, host)
-	body := slices.Concat([]byte{proceedByte}, out.body)
+	body := slices.Concat([]byte{proceedByte}, a.outbound.body)
 	r.Body, r.ContentLength = &proceedBody{unrewindableBody{body}, &gate}, int64(len(body))
 	response, err := f.delegate.transport.RoundTrip(r)
 	receiptTimer.Stop()
@@ -403,6 +403,10 @@
 	if err == nil {
 		answer, err = f.readGathered(response, host)
 		_ = response.Body.Close()
+		if err == nil && gate.close() {
+			// An answer without a receipt refuses the head, before the other host has begun.
+			answer, err = nil, errNotGathered
+		}
 	}
 	declined := errors.Is(err, errNotGathered)
 	if err == nil || declined || !gate.close() || NeverConnected(err) || errors.Is(err, errNoReceipt) {
@@ -413,7 +417,11 @@
 
 // readGathered reads the answer of another host, or returns why that host has declined.
 func (f *Forwarder) readGathered(response *http.Response, host *lister.Server) (*Answer, error) {
-	body, err := f.bodies.read(response.Body, response.ContentLength, maxBodyBytes)
+	err := checkStatus(response)
+	if err != nil {
+		return nil, err
+	}
+	body, err := f.delegate.bodies.read(response.Body, response.ContentLength, maxBodyBytes)
 	declined := response.Header.Get(declinedHeader)
 	switch {
 	case err != nil:
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -18,7 +19,7 @@
 const (
 	// transientRetryAfter is the Retry-After for conditions that soon end: no
 	// configuration yet, a configuration that may be out of date, or no memory left
-	// for large bodies.
+	// for bodies.
 	transientRetryAfter = 300 * time.Millisecond
 	// configStaleAge is a limit on the time since the store last confirmed the
 	// configuration. Beyond it, a route that is not found may exist in a newer
@@ -45,6 +46,10 @@
 	if failure == nil {
 		failure = f.limitToStop(a)
 	}
+	if failure == nil {
+		failure = f.awaitLargeHead(r.Context(), a)
+	}
+	defer f.endLargeHead(a)
 	if failure == nil {
 		failure = f.admit(r.Context(), a)
 	}
@@ -125,7 +130,8 @@
 	}
 	a.id = f.lastRequest.Add(1)
 	a.budgetShare = f.budgetShare(route)
-	header := r.Header.Clone()
+	// net/http doesn't use the header any more; a copy of a large one would be dear.
+	header := r.Header
 	removeConnectionHeaders(header)
 	removeOwnHeaders(header)
 	_, ok = header["User-Agent"]
@@ -135,7 +141,7 @@
 	if a.identity.applies {
 		f.cfg.Dialect.SetOrganisation(header, a.organisationName())
 	}
-	a.outbound = outbound{method: r.Method, url: r.URL, host: r.Host, header: header, body: body}
+	a.outbound = outbound{method: r.Method, url: r.URL, host: r.Host, header: header, copyCost: copyCost(header), body: body}
 	a.fingerprint = vetter.Identity{Method: r.Method, Host: call.Host, Target: r.RequestURI, Caller: a.callerIdentity(), Body: body}.Fingerprint()
 	return a, nil
 }
@@ -164,7 +170,9 @@
 	control := http.NewResponseController(w)
 	// Setting a deadline can't fail on a connection of net/http.
 	_ = control.SetReadDeadline(time.Now().Add(left))
-	body, err := f.bodies.read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
+	body, release, err := f.bodies.hold(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
+	// The context of a request of net/http ends when its handler returns.
+	context.AfterFunc(r.Context(), release)
 	if err == nil {
 		// On an error the deadline stays, so that net/http doesn't wait for the rest of
 		// the body.
