--- a/pkg/coordination/rationer/purse.go
+++ b/pkg/coordination/rationer/purse.go
@@ -44,13 +44,18 @@
 	Unanswered bool
 }
 
+// batch is a number of tokens that were asked for together.
+type batch struct {
+	tokens  int
+	askedAt time.Time
+}
+
 // account has the tokens and the demand of a host for one organisation.
 type account struct {
 	subject Subject
-	// tokens has when each token was asked for, the oldest first.
-	tokens []time.Time
-	demand allotter.Demand
-	rate   float64
+	batches []batch
+	demand  allotter.Demand
+	rate    float64
 	// wanted counts the requests since the last ask.
 	wanted int
 	usedAt time.Time
@@ -89,7 +94,7 @@
 	}
 	if s.Version > a.subject.Version {
 		if s.Quota.Rate < a.subject.Quota.Rate || s.Quota.Burst < a.subject.Quota.Burst {
-			a.tokens = nil
+			a.batches = nil
 		}
 		a.subject, a.deniedUntil = s, time.Time{}
 	}
@@ -113,10 +118,11 @@
 	if a == nil {
 		return Charge{}, false
 	}
-	for i, askedAt := range a.tokens {
-		if now.Sub(askedAt) < TokenLife {
-			a.tokens = slices.Delete(a.tokens, i, i+1)
-			return Charge{a.subject, askedAt}, true
+	for i := range a.batches {
+		b := &a.batches[i]
+		if b.tokens > 0 && now.Sub(b.askedAt) < TokenLife {
+			b.tokens--
+			return Charge{a.subject, b.askedAt}, true
 		}
 	}
 	if a.aloneAt.IsZero() {
@@ -149,12 +155,12 @@
 		return Ask{}, false
 	}
 	ask := Ask{Subject: a.subject, Waiting: waiting, Ahead: int(a.rate * aheadTime.Seconds()), Wanted: a.wanted}
-	for _, askedAt := range a.tokens {
-		if now.Sub(askedAt) < TokenLife+returnTime {
-			ask.Returned++
+	for _, b := range a.batches {
+		if now.Sub(b.askedAt) < TokenLife+returnTime {
+			ask.Returned += b.tokens
 		}
 	}
-	a.tokens, a.wanted = nil, 0
+	a.batches, a.wanted = nil, 0
 	return ask, true
 }
 
@@ -167,9 +173,7 @@
 	}
 	a.aloneAt, a.alone = time.Time{}, 0
 	if a.subject.Version == ask.Version {
-		for range min(g.Tokens, ask.Waiting+ask.Ahead) {
-			a.tokens = append(a.tokens, askedAt)
-		}
+		a.add(min(g.Tokens, ask.Waiting+ask.Ahead), askedAt)
 	}
 	if g.Tokens < ask.Waiting {
 		wait := max(time.Duration(g.WaitMillis)*time.Millisecond, time.Millisecond)
@@ -178,6 +182,16 @@
 	}
 }
 
+// add adds tokens that were asked for at one time.
+func (a *account) add(n int, askedAt time.Time) {
+	i := slices.IndexFunc(a.batches, func(b batch) bool { return b.askedAt.Equal(askedAt) })
+	if i < 0 {
+		a.batches = append(a.batches, batch{askedAt: askedAt})
+		i = len(a.batches) - 1
+	}
+	a.batches[i].tokens += n
+}
+
 // Unanswered records that no host has answered an ask.
 func (p *Purse) Unanswered(now time.Time, ask Ask) {
 	a := p.accounts[ask.Organisation]
@@ -199,7 +213,7 @@
 	if a == nil || c.Alone() || a.subject.Version != c.Version || now.Sub(c.askedAt) >= TokenLife {
 		return false
 	}
-	a.tokens = append(a.tokens, c.askedAt)
+	a.add(1, c.askedAt)
 	a.deniedUntil = time.Time{}
 	return true
 }
