pkg/coordination/sequencer: admission and order of callers' requests while a host is short of room

Cause: hosts took requests as they came; the priorities of organisations and routes were used nowhere, and one hot organisation could crowd out the others of its host.

Change: a pure machine per host that lets requests pass while the admitted work is below a depth, and orders, delays or refuses them beyond it: by rank, by fair shares of work within a rank, the latest of the order refused first. It runs only where the configuration has organisations or policy.admissionDepth is set.

--- a/cmd/rhubarbpost/cmds/limits_test.go
+++ b/cmd/rhubarbpost/cmds/limits_test.go
@@ -20,7 +20,7 @@
 var limitPackages = []string{
 	"internal/forwarder", "internal/reloader", "internal/logger",
 	"pkg/coordination/scatterer", "pkg/coordination/placer", "pkg/coordination/watcher",
-	"pkg/coordination/assessor", "pkg/coordination/delegator", "pkg/coordination/relayer", "pkg/coordination/vetter",
+	"pkg/coordination/assessor", "pkg/coordination/delegator", "pkg/coordination/relayer", "pkg/coordination/vetter", "pkg/coordination/sequencer",
 }
 
 // limitValue matches the values of the constants listed in the table: numbers and durations.
--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/detector"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/sequencer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/vetter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
@@ -61,6 +62,9 @@
 		c.set.NewGauge("rhubarbpost_"+name, func() float64 { return float64(value()) })
 	}
 	gauge("requests_in_flight", func() float64 { return float64(f.callers.InFlight()) })
+	gauge("requests_waiting", func() float64 { return float64(f.turns.state().Waiting) })
+	gauge("admitted_work_seconds", func() float64 { return f.turns.state().Load.Seconds() })
+	gauge("processor_pace", func() float64 { return f.turns.state().Pace })
 	gauge("server_connections_open", func() float64 { return float64(f.client.connsOpen.Load()) })
 	counter("server_connections_opened_total", f.client.connsOpened.Load)
 	gauge("config_age_seconds", func() float64 { return ageSeconds(&f.configConfirmed) })
@@ -108,6 +112,15 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_requests_refused_total{result=%q}", code)).Inc()
 }
 
+// sequenced records a request that was admitted after it had waited, or refused for want of room.
+func (c *counters) sequenced(d sequencer.Decision) {
+	if d.Admitted {
+		c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_requests_admitted_after_waiting_total{rank=%q}", d.Rank)).Inc()
+		return
+	}
+	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_requests_without_room_total{reason=%q,rank=%q}", d.Reason, d.Rank)).Inc()
+}
+
 // sent records an attempt by its reason and by whether the server is in the host's
 // own failure domain.
 func (c *counters) sent(reason scatterer.Reason, own bool) {
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -260,7 +260,7 @@
 	if !sharded {
 		return false
 	}
-	arrived, callerTimeLeft := time.Now(), a.call.Remaining
+	arrived, callerTimeLeft, waited := time.Now(), a.call.Remaining, a.objectiveSpent
 	var tried []string
 	for declined := 0; len(tried)-declined < maxDelegationAttempts && declined < maxDeclines; {
 		host := f.delegate.choose(f.self(), connections, tried, a.route.Objective)
@@ -282,8 +282,8 @@
 		if errors.Is(err, errPeerIsolated) || errors.Is(err, errPeerBusy) {
 			declined++
 		}
-		a.objectiveSpent = time.Since(arrived)
-		a.call.Remaining = callerTimeLeft - a.objectiveSpent
+		spent := time.Since(arrived)
+		a.objectiveSpent, a.call.Remaining = waited+spent, callerTimeLeft-spent
 		if mayHaveGathered(err) {
 			// The gathering host may have used up all attempts.
 			f.refuse(w, a, classifier.NewFailure(classifier.CodeOf(err, classifier.ServerFailed), "gathering host %s: %v", host.ID, err))
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -70,6 +70,8 @@
 	outbound    outbound
 	fingerprint vetter.Fingerprint
 	reply       chan reply
+	// work is what the sequencer has recorded of the request, in sub-requests.
+	work float64
 	// organisation is the caller's, nil if the configuration has none or it isn't known.
 	organisation *matcher.Organisation
 	// delegated is true if another host has delegated the request, relay has the terms if it
@@ -204,6 +206,8 @@
 	servesRequests atomic.Bool
 	// blocked has the requests that handlers refuse, nil without any.
 	blocked atomic.Pointer[blockedRequests]
+	// timerLate is told how late a timer was.
+	timerLate func(late time.Duration)
 	// checkStore reads from the store until a read succeeds. It pushes a storeState
 	// event when the first read fails, and another one when a later read succeeds.
 	checkStore func()
@@ -234,6 +238,7 @@
 	e := &engine{
 		log: cfg.Logger, domain: cfg.Settings.Domain, metrics: metrics, client: c, checkStore: checkStore, probeOtherDomains: probeOtherDomains,
 		delegateSlice: f.delegateSlice, relay: f.relay, askHosts: f.askForTokens, sendRecords: f.sendRecords, writeEvidence: f.writeEvidence,
+		timerLate:   f.turns.lag,
 		archive:     vetter.NewArchive(time.Now()),
 		queue:       queuer.New[event](eventQueueCapacity),
 		machine:     scatterer.New(cfg.Settings.scatterer(), servers),
@@ -290,7 +295,8 @@
 			e.updateServers(e.servers.Expire(time.Now()), "lapsed")
 			e.metrics.updateBudget(e.machine)
 			e.machine.Vetter().Expire(time.Now())
-		case <-assessment.C:
+		case at := <-assessment.C:
+			e.timerLate(time.Since(at))
 			e.assess(time.Now())
 			e.askForTokens(time.Now())
 		case <-e.ctx.Done():
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -69,6 +69,7 @@
 	delegate *delegate
 	tokens   *tokenBroker
 	room     *room
+	turns    *turns
 	engine   *engine
 	// listeners are those for readiness, metrics and other hosts; callers is the one
 	// for callers.
@@ -128,6 +129,7 @@
 	f.delegate, f.tokens = newDelegate(cfg), newTokenBroker()
 	f.settings.Store(&cfg.Settings)
 	f.room = newRoom(f.self())
+	f.turns = newTurns(cfg.Settings.Policy.sequencer(f.self()), cfg.Logger, f.metrics)
 	f.store.Store(&openStore{f.connect(cfg.Settings.Store), cfg.Settings.Store})
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
@@ -212,6 +214,7 @@
 	next.Capacity, next.Link, next.Bounds = held.Capacity, held.Link, held.Bounds
 	f.settings.Store(&next)
 	f.engine.push(policyChange{next.scatterer()})
+	f.turns.reconfigure(next.Policy.sequencer(f.self()))
 	old := f.store.Load()
 	if old.address != next.Store {
 		f.store.Store(&openStore{f.connect(next.Store), next.Store})
@@ -271,6 +274,7 @@
 		_ = l.Close()
 	}
 	f.engine.close()
+	f.turns.timer.Stop()
 	f.checks.Wait()
 	f.eras.close()
 	f.client.close()
--- a/internal/forwarder/gather.go
+++ b/internal/forwarder/gather.go
@@ -51,6 +51,9 @@
 		}
 	}
 	a, err := f.acceptFromPeer(w, r, version, relay)
+	if err == nil {
+		defer f.endTurn(a)
+	}
 	switch {
 	case err != nil:
 		f.decline(w, err.Error())
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -67,6 +67,7 @@
 
 // begin passes a request to the engine.
 func (f *Forwarder) begin(a *arrival) {
+	f.chargeWork(a)
 	if !a.delegated {
 		f.room.add(a.route.SubRequests())
 	}
--- a/internal/forwarder/policy.go
+++ b/internal/forwarder/policy.go
@@ -4,10 +4,13 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/delegator"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/detector"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/placer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/sequencer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/decoder"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
 )
 
 const (
@@ -24,6 +27,8 @@
 	// defaultSliceFactor is less than defaultHedgeFraction: slices are sent only while
 	// servers are expected to answer before a late shard would be hedged.
 	defaultSliceFactor = 0.3
+	// defaultAdmissionDepth is about the work of three queries on the smallest planned hosts.
+	defaultAdmissionDepth = 120 * time.Millisecond
 )
 
 // Policy holds the parameters of routing decisions. An absent parameter has its
@@ -77,6 +82,9 @@
 	Relays *bool `json:"relays"`
 	// VetRequests holds back requests under which backend servers have ended.
 	VetRequests *bool `json:"vetRequests"`
+	// AdmissionDepth is how much work, as time of the host, is admitted before requests wait
+	// for their turn. Without it, they do so only if the configuration has organisations.
+	AdmissionDepth *decoder.Duration `json:"admissionDepth"`
 	// PauseMemory is how long after a pause (Retry-After) a server without a free slot
 	// is avoided if another server is available, as it may reject requests.
 	PauseMemory *decoder.Duration `json:"pauseMemory"`
@@ -135,6 +143,27 @@
 	return cfg
 }
 
+// sequencer returns the settings of the admission of callers' requests at a host.
+func (p Policy) sequencer(self delegator.Host) sequencer.Config {
+	depth := durationOr(p.AdmissionDepth, defaultAdmissionDepth)
+	if depth == 0 {
+		// Nothing arrives any more, but what waits is admitted.
+		depth = defaultAdmissionDepth
+	}
+	return sequencer.Config{
+		ProcessorRate: self.ProcessorRate(), LinkRate: self.LinkRate(),
+		Depth: depth, LateFactor: valueOr(p.LateFactor, defaultLateFactor),
+	}
+}
+
+// sequences reports whether requests wait for their turn while the host is short of room.
+func (p Policy) sequences(table *matcher.Table) bool {
+	if p.AdmissionDepth == nil {
+		return table.HasOrganisations()
+	}
+	return p.AdmissionDepth.Value() > 0
+}
+
 // check records the problems of a policy.
 func (p Policy) check(c *settingsChecker) {
 	fraction := func(value *float64, name string) {
@@ -160,4 +189,5 @@
 	duration(p.DomainSilence, "domainSilence")
 	duration(p.PathDoubt, "pathDoubt")
 	duration(p.PauseMemory, "pauseMemory")
+	duration(p.AdmissionDepth, "admissionDepth")
 }
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -88,6 +88,8 @@
 	VerdictDecided       Event = 554
 	EvidenceUnsaved      Event = 555
 	EvidenceUnread       Event = 556
+	RoomShort            Event = 580
+	RoomRegained         Event = 581
 )
 
 // Definition describes one log event.
@@ -165,6 +167,8 @@
 	{VerdictDecided, "verdictDecided", "An operator has lifted the verdict on a request, or blocked the request."},
 	{EvidenceUnsaved, "evidenceUnsaved", "The evidence of this host against requests could not be written to the store; it is written again."},
 	{EvidenceUnread, "evidenceUnread", "Evidence against requests could not be read from the store; the rest is used."},
+	{RoomShort, "roomShort", "This host has more work than it admits at once; callers' requests wait or are refused from now on, the request in the line first."},
+	{RoomRegained, "roomRegained", "No request has waited for some time; the line counts those that were admitted after waiting, and those refused, since the host was short of room."},
 }
 
 // Catalogue returns the definitions of all log events in ascending order.
--- a/pkg/coordination/delegator/delegator.go
+++ b/pkg/coordination/delegator/delegator.go
@@ -56,13 +56,21 @@
 // SubRequestRate returns the number of sub-requests per second that the host can
 // gather, limited by its processor or its link.
 func (h Host) SubRequestRate() float64 {
-	rate := h.Capacity / subRequestCPUTime.Seconds()
+	rate := h.ProcessorRate()
 	if h.Link > 0 {
-		rate = min(rate, h.Link/subRequestMegabits)
+		rate = min(rate, h.LinkRate())
 	}
 	return rate
 }
 
+// ProcessorRate returns the number of sub-requests per second that the host's processor can
+// gather.
+func (h Host) ProcessorRate() float64 { return h.Capacity / subRequestCPUTime.Seconds() }
+
+// LinkRate returns the number of sub-requests per second that the host's link can carry, 0 if
+// the link is unknown.
+func (h Host) LinkRate() float64 { return h.Link / subRequestMegabits }
+
 // Plan describes how a host serves queries over many shards.
 type Plan struct {
 	// Direct means that the host scatters queries itself.
