pkg/coordination/sequencer: urgent requests are refused less in a burst of less urgent ones

Cause: a request of an organisation past its share was refused at arrival by the stricter limit also while less urgent ones waited, which would have made room for it. The pace stayed above the planned one after a load that never needed it.

Change: the stricter limit holds only for the least urgent rank that waits; the pace returns to 1 while none waits.

--- a/pkg/coordination/sequencer/load.go
+++ b/pkg/coordination/sequencer/load.go
@@ -68,8 +68,8 @@
 	l.planned = min(l.planned, l.unfinished)
 }
 
-// sample records how late a timer of the host was. The pace rises above the planned one only if
-// requests wait for it.
+// sample records how late a timer of the host was. The pace rises above the planned one only while
+// requests wait for it, and returns to it otherwise.
 func (l *load) sample(now time.Time, late time.Duration, waiting bool) {
 	l.advance(now)
 	l.lag += time.Duration(lagSmoothing * float64(min(late, maxLag)-l.lag))
@@ -80,6 +80,8 @@
 		l.pace = min(l.pace*speedup, 1)
 	case l.lag <= lowLag && waiting:
 		l.pace = min(l.pace*speedup, maxPace)
+	case l.pace > 1 && !waiting:
+		l.pace = max(l.pace/speedup, 1)
 	}
 }
 
--- a/pkg/coordination/sequencer/sequencer.go
+++ b/pkg/coordination/sequencer/sequencer.go
@@ -206,9 +206,9 @@
 	expected := m.expected[w.Kind]
 	// A kind that is never faster than its objective is held to what it usually takes.
 	limit := max(w.Objective, expected)
-	if !w.arriving || w.start <= m.shares.virtual[w.flow.rank] {
-		// Another request of its flow can be displaced by those of other flows. It is better
-		// refused at once than after it has waited.
+	if !w.arriving || w.start <= m.shares.virtual[w.flow.rank] || w.flow.rank != m.waiting[len(m.waiting)-1].flow.rank {
+		// Another one would be the first to be displaced, and is better refused at once than after
+		// it has waited.
 		limit = time.Duration(m.cfg.LateFactor * float64(limit))
 	}
 	latest := w.Received.Add(limit)
--- a/pkg/coordination/sequencer/sequencer_test.go
+++ b/pkg/coordination/sequencer/sequencer_test.go
@@ -50,8 +50,7 @@
 	outcomes  []outcome
 	last      uint64
 	// inVain counts the refusals after more than a quarter of the objective.
-	inVain    int
-	decisions int
+	inVain int
 }
 
 func newSimulated(rate float64) *simulated {
@@ -72,7 +71,6 @@
 
 func (s *simulated) apply(decisions []Decision) {
 	for _, d := range decisions {
-		s.decisions++
 		delete(s.waiting, d.ID)
 		o := &s.outcomes[s.owner[d.ID]]
 		if d.Admitted {
@@ -185,8 +183,8 @@
 	demands = append(demands, demand{organisation: "a", kind: "plain", perSecond: 60, work: 3, objective: 50 * time.Millisecond})
 	outcomes := s.run(time.Minute, demands)
 	is.True(sum(outcomes).sent > 3000)
-	is.Equal(s.decisions, 0)
-	is.Equal(len(s.m.shares.tallies), 0)
+	is.Equal(sum(outcomes).delayed+sum(outcomes).refused, 0)
+	is.True(!s.m.short && s.m.shares.tallies == nil)
 }
 
 func TestHotOrganisationLeavesOthersTheirShare(t *testing.T) {
@@ -194,7 +192,6 @@
 	s := newSimulated(2250)
 	outcomes := s.run(time.Minute, organisations(7)) // 56 a second
 	all, small := sum(outcomes), sum(outcomes[1:])
-	t.Logf("all %v %.2f, hot %v %.2f, small %v %.2f", all, all.share(), outcomes[0], outcomes[0].share(), small, small.share())
 	is.True(small.share() > 0.95)
 	is.True(outcomes[0].share() > 0.25*all.share())
 	is.True(all.served > 60*24*85/100) // the room is used
@@ -224,7 +221,6 @@
 				before = o.share()
 			}
 			is.True(sum(outcomes[:4]).share() > 0.9)
-			t.Log(s.inVain, all.refused)
 			is.True(s.inVain < all.refused/10)
 		})
 	}
@@ -236,7 +232,6 @@
 	impatient, patient := query("impatient", 1, 30, 800*time.Millisecond), query("patient", 1, 6, 800*time.Millisecond)
 	impatient.patience = 30 * time.Millisecond
 	outcomes := s.run(30*time.Second, []demand{impatient, patient})
-	t.Log(outcomes)
 	is.True(outcomes[0].left > 0)
 	is.True(outcomes[1].share() > 0.95)
 	s.run(5*time.Second, []demand{query("late", 1, 1, time.Second)})
@@ -259,7 +254,6 @@
 	slow, fast := newSimulated(1100), newSimulated(6000)
 	fast.m.load.cfg.LinkRate = 0
 	slowly, quickly := sum(slow.run(20*time.Second, organisations(6))), sum(fast.run(20*time.Second, organisations(6)))
-	t.Log(slowly, quickly, slow.m.load.pace, fast.m.load.pace)
 	is.True(slow.busyUntil.Sub(slow.now) < 400*time.Millisecond) // not overfilled by the plan
 	is.True(float64(slowly.served) > 0.8*20*1100/92)
 	is.True(quickly.share() > 0.9)
