pkg/coordination/sequencer: requests wait only as long as they can end within the objective

Cause: requests were held for up to 1.5 times their objective.

Change: a request waits only while it can end within its objective; what is admitted at once falls from 120 to 80 ms of the host, after 120 ms were exceeded, so that calm load still passes.

A depth of 80 ms without the higher begin failed TestNothingIsDelayedOnACalmDay.

--- a/internal/forwarder/policy.go
+++ b/internal/forwarder/policy.go
@@ -27,8 +27,8 @@
 	// defaultSliceFactor is less than defaultHedgeFraction: slices are sent only while
 	// servers are expected to answer before a late shard would be hedged.
 	defaultSliceFactor = 0.3
-	// defaultAdmissionDepth is about the work of three queries on the smallest planned hosts.
-	defaultAdmissionDepth = 120 * time.Millisecond
+	// defaultAdmissionDepth is about the work of two queries on the smallest planned hosts.
+	defaultAdmissionDepth = 80 * time.Millisecond
 )
 
 // Policy holds the parameters of routing decisions. An absent parameter has its
@@ -152,7 +152,7 @@
 	}
 	return sequencer.Config{
 		ProcessorRate: self.ProcessorRate(), LinkRate: self.LinkRate(),
-		Depth: depth, LateFactor: valueOr(p.LateFactor, defaultLateFactor),
+		Depth: depth,
 	}
 }
 
--- a/pkg/coordination/sequencer/sequencer.go
+++ b/pkg/coordination/sequencer/sequencer.go
@@ -14,6 +14,9 @@
 	// minRetryAfter and maxRetryAfter bound the Retry-After of a refusal.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// calmExcess is how much work beyond the limit, relative to it, is admitted before requests
+	// begin to wait, so that a few queries at a time don't.
+	calmExcess = 0.5
 	// minTimer keeps the timer from firing again at once.
 	minTimer = time.Millisecond
 	// A kind's expected time follows shorter times by fallWeight and longer ones by riseWeight,
@@ -78,10 +81,14 @@
 // Arrive is to be called.
 func (m *Machine) Pass(now time.Time, r Request) bool {
 	m.load.advance(now)
-	if len(m.waiting) > 0 || m.load.excess() >= 0 {
+	m.short = m.Short(now)
+	allowed := 0.0
+	if !m.short {
+		allowed = calmExcess * m.load.limit()
+	}
+	if len(m.waiting) > 0 || m.load.excess() >= allowed {
 		return false
 	}
-	m.short = m.Short(now)
 	if m.short {
 		m.shares.record(now, r.Rank, r.Work)
 		f := flow{r.Rank, r.Organisation}
@@ -183,6 +190,7 @@
 		w := m.waiting[i]
 		wait := m.load.timeFor(ahead)
 		if w.arriving {
+			// It is better refused at once than after it has waited.
 			wait = m.load.timeBeside(ahead, m.shares.workBefore(now, w.flow.rank))
 		}
 		if m.tooLate(now, w, wait) {
@@ -205,13 +213,7 @@
 func (m *Machine) latestStart(w *waiter) time.Time {
 	expected := m.expected[w.Kind]
 	// A kind that is never faster than its objective is held to what it usually takes.
-	limit := max(w.Objective, expected)
-	if !w.arriving || w.start <= m.shares.virtual[w.flow.rank] || w.flow.rank != m.waiting[len(m.waiting)-1].flow.rank {
-		// Another one would be the first to be displaced, and is better refused at once than after
-		// it has waited.
-		limit = time.Duration(m.cfg.LateFactor * float64(limit))
-	}
-	latest := w.Received.Add(limit)
+	latest := w.Received.Add(max(w.Objective, expected))
 	if w.Expires.Before(latest) {
 		latest = w.Expires
 	}
--- a/pkg/coordination/sequencer/sequencer_test.go
+++ b/pkg/coordination/sequencer/sequencer_test.go
@@ -17,7 +17,7 @@
 
 // testConfig is that of a host of 0.192 cores with a link of 36 Mbit/s.
 func testConfig() Config {
-	return Config{ProcessorRate: 2400, LinkRate: 2250, Depth: 120 * time.Millisecond, LateFactor: 1.5}
+	return Config{ProcessorRate: 2400, LinkRate: 2250, Depth: 80 * time.Millisecond}
 }
 
 // demand is a stream of requests of one organisation and kind.
--- a/pkg/coordination/sequencer/types.go
+++ b/pkg/coordination/sequencer/types.go
@@ -96,7 +96,4 @@
 	LinkRate      float64
 	// Depth is how much work, as time of the host, is admitted before requests wait.
 	Depth time.Duration
-	// LateFactor is the multiple of the latency objective within which a waiting request must
-	// be expected to end.
-	LateFactor float64
 }
