--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -74,6 +74,7 @@
 	work float64
 	// organisation is the caller's, nil if the configuration has none or it isn't known.
 	organisation *matcher.Organisation
+	identity     identity
 	// delegated is true if another host has delegated the request, relay has the terms if it
 	// has sent it on.
 	delegated bool
@@ -351,8 +352,8 @@
 		e.stepVetting(now, item)
 	case evidenceWritten, evidenceLost:
 		e.stepEvidence(now, item)
-	case policyChange:
-		e.machine.Reconfigure(item.cfg)
+	case policyChange, tableChanged:
+		e.stepSettings(now, item)
 	case requestsEnd:
 		e.act(e.machine.Step(now, &scatterer.Stopped{}))
 	}
@@ -372,6 +373,16 @@
 	}
 }
 
+// stepSettings handles changes of the host's settings and of the configuration.
+func (e *engine) stepSettings(now time.Time, item event) {
+	switch item := item.(type) {
+	case policyChange:
+		e.machine.Reconfigure(item.cfg)
+	case tableChanged:
+		e.withdrawKeys(now, item.table)
+	}
+}
+
 // ended records the answer of an attempt and returns the scatterer's event for it,
 // or nil if nothing waits for the answer.
 func (e *engine) ended(item attemptEnd) *scatterer.AttemptEnded {
@@ -546,9 +557,11 @@
 	}
 	e.completed++
 	if covered < len(answers) || e.completed%logSampleInterval == 0 {
-		e.log.Info(logger.RequestAnswered, "request", r.call.ID, "route", r.route.Name, "version", r.version,
+		e.log.Info(logger.RequestAnswered, r.withIdentity(
+			"request", r.call.ID, "route", r.route.Name, "version", r.version,
 			"covered", covered, "parts", len(answers), "early", a.Early, "missing", describeMissing(a.Missing),
-			"tookMillis", a.Took.Milliseconds(), "leftMillis", (r.call.Remaining - a.Took).Milliseconds())
+			"tookMillis", a.Took.Milliseconds(), "leftMillis", (r.call.Remaining-a.Took).Milliseconds(),
+		)...)
 	}
 	e.assessor.RequestEnded(time.Now(), true)
 	r.reply <- reply{answers: answers, draining: r.draining, limits: e.limitsOf(r, a.Missing)}
@@ -577,10 +590,12 @@
 	r := e.requests[a.Request]
 	a.Failure = e.delayRetry(time.Now(), a.Failure)
 	e.metrics.refused(a.Failure.Code)
-	e.log.Warn(logger.RequestRefused, "request", r.call.ID, "route", r.route.Name, "version", r.version,
+	e.log.Warn(logger.RequestRefused, r.withIdentity(
+		"request", r.call.ID, "route", r.route.Name, "version", r.version,
 		"result", a.Failure.Code, "detail", a.Failure.Detail, "notRun", a.Failure.Code.NotRun(), "fingerprint", r.fingerprint,
 		"retryAfterMillis", a.Failure.RetryAfter.Milliseconds(), "missing", describeMissing(a.Missing),
-		"tookMillis", a.Took.Milliseconds(), "leftMillis", (r.call.Remaining - a.Took).Milliseconds())
+		"tookMillis", a.Took.Milliseconds(), "leftMillis", (r.call.Remaining-a.Took).Milliseconds(),
+	)...)
 	if !vetted(a.Failure.Code) {
 		e.assessor.RequestEnded(time.Now(), false)
 	}
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -88,6 +88,7 @@
 	VerdictDecided       Event = 554
 	EvidenceUnsaved      Event = 555
 	EvidenceUnread       Event = 556
+	KeyWithdrawn         Event = 560
 	RoomShort            Event = 580
 	RoomRegained         Event = 581
 )
@@ -167,6 +168,7 @@
 	{VerdictDecided, "verdictDecided", "An operator has lifted the verdict on a request, or blocked the request."},
 	{EvidenceUnsaved, "evidenceUnsaved", "The evidence of this host against requests could not be written to the store; it is written again."},
 	{EvidenceUnread, "evidenceUnread", "Evidence against requests could not be read from the store; the rest is used."},
+	{KeyWithdrawn, "keyWithdrawn", "A newer configuration has taken away the key of a request in flight, which is sent to no further server; the line has the version by which it was accepted."},
 	{RoomShort, "roomShort", "This host has more work than it admits at once; callers' requests wait or are refused from now on, the request in the line first."},
 	{RoomRegained, "roomRegained", "No request has waited for some time; the line counts those that were admitted after waiting, and those refused, since the host was short of room."},
 }
