internal/forwarder: routes without an objective wait until their timeout

Cause: with an objective of 0 a request that had to wait would always have been refused. Change: the time left to the timeout stands for it. No deployment known has such a route; not measured.

--- a/internal/forwarder/turns.go
+++ b/internal/forwarder/turns.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -164,10 +165,12 @@
 
 // sequencing returns a caller's request as the sequencer sees it.
 func sequencing(a *arrival) sequencer.Request {
+	left := min(a.call.Remaining, a.route.Timeout)
 	r := sequencer.Request{
 		ID: a.id, Rank: sequencer.Rank{Organisation: a.route.Priority, Route: a.route.Priority}, Kind: a.route.Name,
-		Work: a.work, Bytes: len(a.outbound.body), Received: a.received, Expires: a.received.Add(min(a.call.Remaining, a.route.Timeout)),
-		Objective: a.route.Objective,
+		Work: a.work, Bytes: len(a.outbound.body), Received: a.received, Expires: a.received.Add(left),
+		// A route without an objective has only its timeout.
+		Objective: cmp.Or(a.route.Objective, left),
 	}
 	if a.organisation != nil {
 		r.Organisation, r.Rank.Organisation = a.organisation.Name, a.organisation.Priority
