--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -9,6 +9,7 @@
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/detector"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/rationer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/sequencer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/vetter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
@@ -77,6 +78,9 @@
 	gauge("requests_in_flight", func() float64 { return float64(f.callers.InFlight()) })
 	gauge("caller_body_buffer_bytes", func() float64 { return float64(f.bodies.reserved.Load() + f.bodies.medium.Load()) })
 	gauge("request_head_bytes", func() float64 { return float64(f.heads.Used()) })
+	gauge("requests_waiting", func() float64 { return float64(f.turns.state().Waiting) })
+	gauge("admitted_work_seconds", func() float64 { return f.turns.state().Load.Seconds() })
+	gauge("processor_pace", func() float64 { return f.turns.state().Pace })
 	gauge("server_connections_open", func() float64 { return float64(f.client.connsOpen.Load()) })
 	counter("server_connections_opened_total", f.client.connsOpened.Load)
 	gauge("config_age_seconds", func() float64 { return ageSeconds(&f.configConfirmed) })
@@ -124,6 +128,15 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_requests_refused_total{result=%q}", code)).Inc()
 }
 
+// sequenced records a request that was admitted after it had waited, or refused for want of room.
+func (c *counters) sequenced(d sequencer.Decision) {
+	if d.Admitted {
+		c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_requests_admitted_after_waiting_total{rank=%q}", d.Rank)).Inc()
+		return
+	}
+	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_requests_without_room_total{reason=%q,rank=%q}", d.Reason, d.Rank)).Inc()
+}
+
 // unidentified records a request that was refused because of its key.
 func (c *counters) unidentified(reason keyProblem) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_callers_unidentified_total{reason=%q}", reason)).Inc()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -75,6 +75,7 @@
 	tokens     *tokenBroker
 	quotas     *quotas
 	room       *room
+	turns      *turns
 	engine     *engine
 	// listeners are those for readiness, metrics and other hosts; callers is the one
 	// for callers.
@@ -142,6 +143,7 @@
 	f.heads = listener.NewHeads(headBudget(cfg.Settings), (&headRefusals{f: f}).add)
 	f.settings.Store(&cfg.Settings)
 	f.room = newRoom(f.self())
+	f.turns = newTurns(cfg.Settings.Policy.sequencer(f.self()), cfg.Logger, f.metrics)
 	f.store.Store(&openStore{f.connect(cfg.Settings.Store), cfg.Settings.Store})
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
@@ -231,6 +233,7 @@
 	next.Capacity, next.Link, next.Memory, next.Bounds, next.Quota = held.Capacity, held.Link, held.Memory, held.Bounds, held.Quota
 	f.settings.Store(&next)
 	f.engine.push(policyChange{next.scatterer()})
+	f.turns.reconfigure(next.Policy.sequencer(f.self()))
 	old := f.store.Load()
 	if old.address != next.Store {
 		f.store.Store(&openStore{f.connect(next.Store), next.Store})
@@ -295,6 +298,7 @@
 		_ = l.Close()
 	}
 	f.engine.close()
+	f.turns.timer.Stop()
 	f.checks.Wait()
 	f.eras.close()
 	f.client.close()
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -94,6 +94,8 @@
 	QuotaTakenOver       Event = 572
 	QuotaNotLent         Event = 573
 	QuotaTimeLost        Event = 574
+	RoomShort            Event = 580
+	RoomRegained         Event = 581
 	EvacuationBegun      Event = 590
 	EvacuationEnded      Event = 591
 	EvacuationUnknown    Event = 592
@@ -185,6 +187,8 @@
 	{QuotaTakenOver, "quotaTakenOver", "This host keeps the bucket of an organisation in place of a host that is lost or late; it begins empty."},
 	{QuotaNotLent, "quotaNotLent", "Another failure domain has not answered an ask to lend tokens of a quota; this one goes on with its own part."},
 	{QuotaTimeLost, "quotaTimeLost", "The process stood still; the buckets of quotas that it keeps gain nothing for that time."},
+	{RoomShort, "roomShort", "This host has more work than it admits at once; callers' requests wait or are refused from now on, the request in the line first."},
+	{RoomRegained, "roomRegained", "No request has waited for some time; the line counts those that were admitted after waiting, and those refused, since the host was short of room."},
 	{EvacuationBegun, "evacuationBegun", "The operators have a failure domain evacuated: this host sends nothing more to the backend servers there."},
 	{EvacuationEnded, "evacuationEnded", "The evacuation of a failure domain was taken back; its backend servers may get requests again."},
 	{EvacuationUnknown, "evacuationUnknown", "No backend server is registered in a failure domain that is to be evacuated; its name may be wrong."},
