--- a/pkg/coordination/rationer/rationer_test.go
+++ b/pkg/coordination/rationer/rationer_test.go
@@ -134,8 +134,8 @@
 
 // killAll ends all processes, which start again within some time.
 func (f *fleet) killAll(longest time.Duration) {
-	for _, nodes := range f.nodes {
-		for _, n := range nodes {
+	for _, domain := range f.domains {
+		for _, n := range f.nodes[domain] {
 			f.kill(n, longest)
 		}
 	}
