--- a/cmd/rhubarbpost/cmds/config.go
+++ b/cmd/rhubarbpost/cmds/config.go
@@ -45,6 +45,7 @@
 	parent.Description = "Check and change the configuration of services."
 	t.parser.AttachSubcommand(parent, 1)
 	t.addCheck(parent)
+	t.addReview(parent)
 	t.addApply(parent)
 	t.addShow(parent)
 	t.addHistory(parent)
