--- a/pkg/state/reviewer/change.go
+++ b/pkg/state/reviewer/change.go
@@ -93,7 +93,7 @@
 func servicesByPlace(t *matcher.Table) map[string][]field {
 	entries := make(map[string][]field)
 	for _, service := range t.Services() {
-		entries[servicePlace(service.Name)] = []field{{"healthPath", service.HealthPath}, {"connections", service.MaxConnections}}
+		entries[servicePlace(service.Name)] = []field{{"healthPath", service.HealthPath}, {"connections", service.MaxConnections}, {"warmupRate", service.WarmupRate}}
 	}
 	return entries
 }
