--- a/pkg/coordination/placer/pace.go
+++ b/pkg/coordination/placer/pace.go
@@ -86,8 +86,7 @@
 	return float64(xxhash.Sum64String(strconv.Quote(host)+server)%phaseSteps) / phaseSteps
 }
 
-// recovered begins the ramp of a server that answers after failures for which it was suspended, or
-// after having been slow for long.
+// recovered begins the ramp of a server that answers after failures for which it was suspended.
 func (p *Placer) recovered(now time.Time, id string, state *serverState) {
 	if p.cfg.Pace && state.ramp == nil && p.cfg.SuspendAfter > 0 && state.consecutiveFailures >= p.cfg.SuspendAfter {
 		p.beginRamp(now, id, state, PaceRecovered)
