internal/forwarder: answers to asks for quotas don't write to the settings

Cause: the answer to an ask appended the host's failure domain to the list in the settings, whose backing array all answers share, where the list has spare room (as with three domains read from JSON): a data race between answers. Change: the list is copied. Measured: the new test failed before under the race detector, and without it by the domain found behind the list; it passes now. internal/forwarder, and the quota, organisation and metrics tests of platform/adapter, pass with the race detector; lint 0 issues. Found by reading the change once more.

--- a/internal/forwarder/quotacalls.go
+++ b/internal/forwarder/quotacalls.go
@@ -171,7 +171,7 @@
 // keepBucket answers a message from the bucket that this host keeps.
 func (f *Forwarder) keepBucket(ctx context.Context, substitute bool, m quotaMessage) quotaAnswer {
 	q, self := f.quotas, f.Settings()
-	domains := f.delegate.domainsWith(append(self.Quota.Domains, self.Domain))
+	domains := f.delegate.domainsWith(slices.Concat(self.Quota.Domains, []string{self.Domain}))
 	p := rationer.Position{Domains: len(domains), Substitute: substitute}
 	q.mu.Lock()
 	known := q.rationer.Knows(m.subject().Organisation)
