internal/lab/starter: tests of clients that make a host hold too much

Ten gatherings of clients against one host process on loopback, with 64 MB of memory and 2,000 descriptors (800 in two of them). Each client sends requests of legal size: ordinary ones, many header lines of a usual length, queries, long targets, announced trailers, lines after a body, requests ahead of the first answer, bodies that don't end; it reads no answer, or keeps its connection. The test judges from outside that the process lives, that its memory with the bytes that it hasn't read stays below that of its machine, that its sockets leave the 200 descriptors for files, and that an ordinary request is answered beside the clients and after them.

--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -136,6 +136,9 @@
 	return s, nil
 }
 
+// Widen changes the number of requests that the server runs concurrently, before the first one.
+func (s *Server) Widen(slots int) { s.slots = make(chan struct{}, slots) }
+
 // Address returns the address of the server as IP:port.
 func (s *Server) Address() string { return s.address }
 
@@ -143,7 +146,7 @@
 func (s *Server) Registration(state string) map[string]any {
 	return map[string]any{
 		"service": s.Service, "address": s.Address(), "zone": s.Domain, "version": "v1",
-		"max_concurrency": serverSlots, "state": state, "warmup_left_ms": 0, "sequence": 1, "born": s.restarts.Load() + 1,
+		"max_concurrency": cap(s.slots), "state": state, "warmup_left_ms": 0, "sequence": 1, "born": s.restarts.Load() + 1,
 	}
 }
 
@@ -329,7 +332,7 @@
 // loadHeader returns the header with the numbers of running requests, waiting requests
 // and slots.
 func (s *Server) loadHeader() string {
-	return fmt.Sprintf("X-Server-Load: %d,%d,%d", len(s.slots), s.waiting.Load(), serverSlots)
+	return fmt.Sprintf("X-Server-Load: %d,%d,%d", len(s.slots), s.waiting.Load(), cap(s.slots))
 }
 
 // Stamp returns the X-Server-Stamp header of the answer to a request, which identifies
--- a/internal/lab/starter/soak_test.go
+++ b/internal/lab/starter/soak_test.go
@@ -60,6 +60,8 @@
 	domains int
 	// memory is the memory of each host in MB, 0 if unknown.
 	memory int
+	// maxDescriptors is the limit on the open descriptors of each host, 0 for that of the test.
+	maxDescriptors int
 	// basePorts holds the port for callers of each host; the next three ports are for
 	// readiness, control and metrics.
 	basePorts []int
@@ -222,7 +224,10 @@
 }
 
 func (s *soak) start(i int) *Process {
-	return Start(s.t, fmt.Sprint("h", i), "rhubarbpost", "host", "--settings", s.settingsFiles[i])
+	if s.maxDescriptors > 0 {
+		return StartLimited(s.t, s.maxDescriptors, hostName(i), "rhubarbpost", "host", "--settings", s.settingsFiles[i])
+	}
+	return Start(s.t, hostName(i), "rhubarbpost", "host", "--settings", s.settingsFiles[i])
 }
 
 func (s *soak) ready(i int) bool {
--- a/internal/lab/starter/starter.go
+++ b/internal/lab/starter/starter.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -85,8 +86,20 @@
 // Start starts a program and kills it at the end of the test if it still runs.
 func Start(t testing.TB, name, program string, args ...string) *Process {
 	t.Helper()
-	p := &Process{Name: name, logs: &Buffer{}, done: make(chan struct{})}
-	p.cmd = exec.CommandContext(context.Background(), filepath.Join(programs(t), program), args...)
+	return run(t, name, exec.CommandContext(context.Background(), filepath.Join(programs(t), program), args...))
+}
+
+// StartLimited starts a program as Start does, with a limit on its open descriptors.
+func StartLimited(t testing.TB, descriptors int, name, program string, args ...string) *Process {
+	t.Helper()
+	// The shell becomes the program, with the same process ID.
+	shell := []string{"-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(descriptors), filepath.Join(programs(t), program)}
+	return run(t, name, exec.CommandContext(context.Background(), "sh", append(shell, args...)...))
+}
+
+func run(t testing.TB, name string, cmd *exec.Cmd) *Process {
+	t.Helper()
+	p := &Process{Name: name, cmd: cmd, logs: &Buffer{}, done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = p.logs, p.logs
 	err := p.cmd.Start()
 	if err != nil {
