internal/forwarder: trailers are not kept with a request

Seen: clients that announce thousands of trailers in one header line, or send thousands of short lines after a chunked body, took the memory of a host beyond that of its machine, which ends the process for all callers.

Cause: net/http makes a map of the names in the header Trailer when it parses the head, and one of the lines after the body when that has been read. It keeps both in Request.Trailer for as long as the request lives: some 230 KB for 15 KB of names, 100 KB for 4 KB of lines. No bound counts them, and nothing reads them; trailers are not forwarded.

Change: readBody drops the announced names before it reads the body, and the lines once it has read it. Both maps then live only while one goroutine parses them, which it does without waiting.

--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -165,6 +165,10 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
+	// Neither the trailers that a head announces nor those that follow the body are forwarded;
+	// net/http would keep them for as long as the request.
+	r.Trailer = nil
+	defer func() { r.Trailer = nil }()
 	if limit <= 0 || limit > maxBodyBytes {
 		limit = maxBodyBytes
 	}
