internal/lab/standin: a free slot takes a request at once

A server with free slots rejected requests when more than 32 came at the same instant, since each one counted as waiting until it had its slot. Requests wait, and are rejected, only while all slots are taken; servers with two slots queue as before.

--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -320,6 +320,11 @@
 
 // acquireSlot waits for a slot. It returns false without waiting if the queue is full.
 func (s *Server) acquireSlot() bool {
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	default:
+	}
 	if s.waiting.Add(1) > serverQueue {
 		s.waiting.Add(-1)
 		return false
