internal/transport/listener: connections of clients are bounded

Seen: clients that keep their connections take all descriptors of a host. It accepts no other client, and has none left for servers, the store and other hosts. As many clients with one ordinary request each take it beyond its memory: a connection with a request costs some 48 KB.

Cause: the number of connections was bounded by nothing but the operating system.

Change: budgeter derives the number from the new setting descriptors (by default the limit of the operating system) and from memory: a third of the sockets, and three eighths of the memory for clients. 45% of the sockets are for exchanges with servers, beyond which attempts wait, and 15% for idle connections to them. Beyond the bound the connection that has waited longest for a request is closed; if all have requests, the new one, and in return the next request of another is the last of its connection. Choosing a connection and beginning a request share a lock, so that none with a request that was read is closed. Readiness and metrics take 32 each.

--- a/cmd/rhubarbpost/cmds/limits_test.go
+++ b/cmd/rhubarbpost/cmds/limits_test.go
@@ -21,6 +21,7 @@
 	"internal/forwarder", "internal/reloader", "internal/logger", "internal/transport/listener",
 	"pkg/coordination/scatterer", "pkg/coordination/placer", "pkg/coordination/watcher",
 	"pkg/coordination/assessor", "pkg/coordination/delegator", "pkg/coordination/relayer", "pkg/coordination/vetter", "pkg/coordination/sequencer",
+	"pkg/coordination/budgeter",
 }
 
 // limitValue matches the values of the constants listed in the table: numbers and durations.
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/budgeter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/detector"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/lister"
@@ -52,7 +53,10 @@
 	maxStatus = 599
 )
 
-var errNoRoomForHead = errors.New("copies of large headers take all the memory that they may")
+var (
+	errNoRoomForHead = errors.New("copies of large headers take all the memory that they may")
+	errNoDescriptor  = errors.New("exchanges with servers take all the descriptors that they may")
+)
 
 // outbound holds what all attempts of a request have in common.
 type outbound struct {
@@ -73,6 +77,8 @@
 	bodies    *bodyReader
 	// copies bounds the memory of the copies of large headers in attempts.
 	copies *shares
+	// slots bounds the exchanges at the same time, each of which takes a descriptor.
+	slots *shares
 	// connsOpened counts the connections opened so far; connsOpen is the number that
 	// are open now, in use or idle.
 	connsOpened *atomic.Uint64
@@ -135,8 +141,9 @@
 	return c.requestConn.Close()
 }
 
-func newClient(dialect Dialect, b *bodyReader, copies *shares, translate map[string]string) *client {
-	c := &client{dialect: dialect, bodies: b, copies: copies, translate: translate, connsOpened: new(atomic.Uint64), connsOpen: new(atomic.Int64), dials: newDialRegistry()}
+func newClient(cfg Config, b *bodyReader, limits budgeter.Machine) *client {
+	used, idle := limits.MaxServerConnections()
+	c := &client{dialect: cfg.Dialect, bodies: b, copies: newShares(headBudget(cfg.Settings)), slots: exchangeShares(used), translate: cfg.Settings.Translate, connsOpened: new(atomic.Uint64), connsOpen: new(atomic.Int64), dials: newDialRegistry()}
 	dial := c.dials.register(dialer(dialTimeout))
 	c.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -148,6 +155,7 @@
 			c.connsOpen.Add(1)
 			return &countedConn{requestConn: conn, closed: func() { c.connsOpen.Add(-1) }}, nil
 		},
+		MaxIdleConns:        idle,
 		MaxIdleConnsPerHost: maxIdleConnsPerServer,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
@@ -208,6 +216,10 @@
 		return &Answer{Code: classifier.NotSent, Err: errNoRoomForHead}
 	}
 	defer c.copies.give(out.copyCost)
+	if !c.slots.take(ctx, 1) {
+		return &Answer{Code: classifier.NotSent, Err: errNoDescriptor}
+	}
+	defer c.slots.give(1)
 	var conn atomic.Pointer[countedConn]
 	var writtenBefore atomic.Int64
 	evidence := detector.Response
--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -78,6 +78,8 @@
 	gauge("requests_in_flight", func() float64 { return float64(f.callers.InFlight()) })
 	gauge("caller_body_buffer_bytes", func() float64 { return float64(f.bodies.reserved.Load() + f.bodies.medium.Load()) })
 	gauge("request_head_bytes", func() float64 { return float64(f.heads.Used()) })
+	gauge("client_connections_open", func() float64 { return float64(f.callers.Connections()) })
+	gauge("client_connections_limit", func() float64 { return float64(f.machine.MaxConnections()) })
 	gauge("requests_waiting", func() float64 { return float64(f.turns.state().Waiting) })
 	gauge("admitted_work_seconds", func() float64 { return f.turns.state().Load.Seconds() })
 	gauge("processor_pace", func() float64 { return f.turns.state().Pace })
@@ -147,6 +149,12 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_heads_refused_total{status=\"%d\"}", status)).Inc()
 }
 
+// connectionClosed records a client's connection that was closed for want of room, by whether it had
+// waited for a request or was new.
+func (c *counters) connectionClosed(waited bool) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("rhubarbpost_client_connections_closed_total{waited=\"%t\"}", waited)).Inc()
+}
+
 // sent records an attempt by its reason and by whether the server is in the host's
 // own failure domain.
 func (c *counters) sent(reason scatterer.Reason, own bool) {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"github.com/rhubarbpost/rhubarbpost/internal/protocol/exchanger/exchangerconnect"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/connector"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/budgeter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/watcher"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/cacher"
 	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
@@ -68,6 +69,9 @@
 	// bodies reads the bodies of callers; delegate has the one for answers.
 	bodies   *bodyReader
 	delegate *delegate
+	// machine is what the process may use.
+	machine  budgeter.Machine
+	refusals refusals
 	// heads bounds the memory of the heads of requests.
 	heads *listener.Heads
 	// largeHeads bounds the sub-requests of requests with large headers.
@@ -133,13 +137,16 @@
 // New opens the listeners and starts following the store.
 func New(cfg Config) (*Forwarder, error) {
 	d := newDelegate(cfg)
+	limits := machine(cfg.Settings)
 	f := &Forwarder{
-		cfg: cfg, metrics: newCounters(), client: newClient(cfg.Dialect, d.bodies, newShares(headBudget(cfg.Settings)), cfg.Settings.Translate), bodies: &bodyReader{},
+		machine: limits,
+		cfg:     cfg, metrics: newCounters(), client: newClient(cfg, d.bodies, limits), bodies: &bodyReader{},
 		objects: cacher.New(), eras: newEras(), source: watcher.NewSource(cfg.Settings.sourceConfig()),
 	}
 	f.delegate, f.tokens = d, newTokenBroker()
 	f.quotas = newQuotas(cfg.Settings.Quota.rule())
 	f.largeHeads = newShares(largeHeadSubRequests)
+	f.refusals.f = f
 	f.heads = listener.NewHeads(headBudget(cfg.Settings), (&headRefusals{f: f}).add)
 	f.settings.Store(&cfg.Settings)
 	f.room = newRoom(f.self())
@@ -196,15 +203,18 @@
 		address *string
 		handler http.Handler
 		peers   bool
-	}{{&addresses.Readiness, mux, false}, {&addresses.Metrics, exported, false}, {&addresses.Control, f.serveControl(calls), true}} {
-		l, err := listener.New(listener.Config{Address: *side.address, Handler: side.handler, PeerFacing: side.peers, Heads: f.heads})
+		most    int
+	}{{&addresses.Readiness, mux, false, sideConnections}, {&addresses.Metrics, exported, false, sideConnections}, {&addresses.Control, f.serveControl(calls), true, 0}} {
+		connections := listener.Connections{Max: side.most, Closed: f.refusals.connectionClosed}
+		l, err := listener.New(listener.Config{Address: *side.address, Handler: side.handler, PeerFacing: side.peers, Heads: f.heads, Connections: connections})
 		if err != nil {
 			return err
 		}
 		f.listeners = append(f.listeners, l)
 		*side.address = l.Address()
 	}
-	l, err := listener.New(listener.Config{Address: addresses.Callers, Handler: f, CallerFacing: true, Heads: f.heads})
+	connections := listener.Connections{Max: f.machine.MaxConnections(), Closed: f.refusals.connectionClosed}
+	l, err := listener.New(listener.Config{Address: addresses.Callers, Handler: f, CallerFacing: true, Heads: f.heads, Connections: connections})
 	if err != nil {
 		return err
 	}
@@ -226,11 +236,11 @@
 }
 
 // Reload puts changed settings in force without interrupting requests. Name,
-// failure domain, capacity, link, memory, bounds, quota, listeners and log keep their values until a restart.
+// failure domain, capacity, link, memory, descriptors, bounds, quota, listeners and log keep their values until a restart.
 func (f *Forwarder) Reload(next Settings) {
 	held := f.Settings()
 	next.Name, next.Domain, next.Listen, next.Log = held.Name, held.Domain, held.Listen, held.Log
-	next.Capacity, next.Link, next.Memory, next.Bounds, next.Quota = held.Capacity, held.Link, held.Memory, held.Bounds, held.Quota
+	next.Capacity, next.Link, next.Memory, next.Descriptors, next.Bounds, next.Quota = held.Capacity, held.Link, held.Memory, held.Descriptors, held.Bounds, held.Quota
 	f.settings.Store(&next)
 	f.engine.push(policyChange{next.scatterer()})
 	f.turns.reconfigure(next.Policy.sequencer(f.self()))
--- a/internal/forwarder/heads.go
+++ b/internal/forwarder/heads.go
@@ -113,8 +113,13 @@
 	if amount == 0 {
 		return true
 	}
-	ask := &shareAsk{amount: amount, granted: make(chan struct{})}
 	s.mu.Lock()
+	if len(s.waiting) == 0 && amount <= s.left {
+		s.left -= amount
+		s.mu.Unlock()
+		return true
+	}
+	ask := &shareAsk{amount: amount, granted: make(chan struct{})}
 	s.waiting = append(s.waiting, ask)
 	s.grant()
 	s.mu.Unlock()
--- /dev/null
+++ b/internal/forwarder/memory.go
@@ -0,0 +1,75 @@
+package forwarder
+
+import (
+	"math"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rhubarbpost/rhubarbpost/internal/logger"
+	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/budgeter"
+)
+
+const (
+	// refusalLogInterval is the least time between two log lines on closed connections.
+	refusalLogInterval = time.Second
+	// sideConnections bounds the connections of the listeners for readiness and for metrics.
+	sideConnections = 32
+)
+
+// machine returns what the process may use.
+func machine(s Settings) budgeter.Machine {
+	m := budgeter.Machine{MemoryBytes: int64(s.Memory * (1 << 20)), Descriptors: s.Descriptors}
+	var limit syscall.Rlimit
+	err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit)
+	if err == nil && limit.Cur < math.MaxInt32 && (m.Descriptors == 0 || int(limit.Cur) < m.Descriptors) {
+		m.Descriptors = int(limit.Cur)
+	}
+	return m
+}
+
+// refusals logs some of the closed connections.
+type refusals struct {
+	f *Forwarder
+
+	mu          sync.Mutex
+	connections sampledEvent
+}
+
+// sampledEvent counts the events since the last one that was logged.
+type sampledEvent struct {
+	unlogged int
+	loggedAt time.Time
+}
+
+// next counts an event, and returns the number of those since the last log line if one is due.
+func (s *sampledEvent) next(now time.Time) (unlogged int, due bool) {
+	s.unlogged++
+	if now.Sub(s.loggedAt) < refusalLogInterval {
+		return 0, false
+	}
+	unlogged = s.unlogged
+	s.unlogged, s.loggedAt = 0, now
+	return unlogged, true
+}
+
+// connectionClosed counts and logs a connection that was closed for want of room.
+func (r *refusals) connectionClosed(closed listener.ClosedConnection) {
+	r.f.metrics.connectionClosed(closed.Waited)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n, due := r.connections.next(time.Now())
+	if due {
+		r.f.cfg.Logger.Warn(logger.ConnectionsShort, "client", closed.Client, "waited", closed.Waited, "open", closed.Open,
+			"limit", r.f.machine.MaxConnections(), "closed", n)
+	}
+}
+
+// exchangeShares returns the bound of a number of exchanges, 0 for none.
+func exchangeShares(exchanges int) *shares {
+	if exchanges == 0 {
+		return newShares(math.MaxInt64)
+	}
+	return newShares(int64(exchanges))
+}
--- a/internal/forwarder/settings.go
+++ b/internal/forwarder/settings.go
@@ -63,7 +63,10 @@
 	Link float64 `json:"link"`
 	// Memory is the memory that the process may use in MB, 0 if unknown.
 	Memory float64 `json:"memory"`
-	Listen Listen  `json:"listen"`
+	// Descriptors is the number of descriptors that the process may open, 0 for the limit of the
+	// operating system.
+	Descriptors int    `json:"descriptors"`
+	Listen      Listen `json:"listen"`
 	// Seeds are control addresses of hosts that may be running.
 	Seeds []string `json:"seeds"`
 	// Translate has the IP addresses of backend servers that this host reaches at other
@@ -240,6 +243,7 @@
 	c.require(s.Capacity > 0, "not positive", "more than 0", "capacity")
 	c.require(s.Link >= 0, "negative", "0 or more", "link")
 	c.require(s.Memory >= 0, "negative", "0 or more", "memory")
+	c.require(s.Descriptors >= 0, "negative", "0 or more", "descriptors")
 	c.address(s.Listen.Callers, "listen", "callers")
 	c.address(s.Listen.Readiness, "listen", "readiness")
 	c.address(s.Listen.Control, "listen", "control")
--- a/internal/transport/listener/heads.go
+++ b/internal/transport/listener/heads.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
@@ -97,10 +98,11 @@
 	return true
 }
 
-// headListener accepts connections whose heads are bounded.
+// headListener accepts connections whose number and heads are bounded.
 type headListener struct {
 	net.Listener
 
+	pool     *connectionPool
 	heads    *Heads
 	maxLines int
 	// peers is true if clients may use HTTP/2.
@@ -109,12 +111,18 @@
 
 // Accept returns the next connection.
 func (l *headListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	tcp, ok := conn.(*net.TCPConn)
-	if err != nil || !ok {
-		return conn, err
+	for {
+		conn, err := l.Listener.Accept()
+		tcp, ok := conn.(*net.TCPConn)
+		if err != nil || !ok {
+			return conn, err
+		}
+		c := &headConn{TCPConn: tcp, listener: l}
+		if l.pool.add(c) {
+			return c, nil
+		}
+		_ = tcp.Close()
 	}
-	return &headConn{TCPConn: tcp, listener: l}, nil
 }
 
 // headConn follows the bytes of the heads that net/http reads from a connection, and ends the
@@ -125,6 +133,12 @@
 
 	listener *headListener
 
+	// waiting is the place among the connections that wait for a request, nil without one;
+	// evicted is true if the connection is closed for want of room, removed once it doesn't count.
+	// The pool of the listener guards them.
+	waiting          *list.Element
+	evicted, removed bool
+
 	mu sync.Mutex
 	// reserved is what the connection takes of the budget.
 	reserved int64
@@ -283,6 +297,7 @@
 
 // Close closes the connection.
 func (c *headConn) Close() error {
+	c.listener.pool.remove(c)
 	c.release()
 	return c.TCPConn.Close()
 }
@@ -299,6 +314,7 @@
 		c, ok := conn.(*headConn)
 		if ok && state == http.StateIdle {
 			c.next()
+			c.listener.pool.wait(c)
 		}
 	}
 	next := server.Handler
@@ -308,6 +324,13 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		last, ok := c.listener.pool.begin(c)
+		if !ok {
+			panic(http.ErrAbortHandler)
+		}
+		if last {
+			w.Header().Set("Connection", "close")
+		}
 		cost := parsedCost(r.Header)
 		if !c.enter(cost) {
 			heads := c.listener.heads
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -42,8 +42,9 @@
 	CallerFacing bool
 	// PeerFacing admits heads of callers that other hosts pass on.
 	PeerFacing bool
-	// Heads bounds the memory of the heads, if it is set.
-	Heads *Heads
+	// Heads bounds the memory of the heads, and Connections the connections, if Heads is set.
+	Heads       *Heads
+	Connections Connections
 }
 
 // ListenError reports that the socket of an address could not be opened.
@@ -66,6 +67,7 @@
 type Listener struct {
 	server      *http.Server
 	socket      net.Listener
+	pool        *connectionPool
 	inFlight    atomic.Int64
 	draining    atomic.Bool
 	serveResult chan error
@@ -91,11 +93,11 @@
 	if err != nil {
 		return nil, &ListenError{Address: cfg.Address, cause: err}
 	}
-	l := &Listener{socket: socket, serveResult: make(chan error, 1)}
+	l := &Listener{socket: socket, pool: &connectionPool{Connections: cfg.Connections}, serveResult: make(chan error, 1)}
 	l.server = newServer(cfg, l.countInFlight(cfg.Handler))
 	if cfg.Heads != nil {
 		followHeads(l.server)
-		socket = &headListener{Listener: socket, heads: cfg.Heads, maxLines: l.server.MaxHeaderBytes/minHeaderLine + 1, peers: !cfg.CallerFacing}
+		socket = &headListener{Listener: socket, pool: l.pool, heads: cfg.Heads, maxLines: l.server.MaxHeaderBytes/minHeaderLine + 1, peers: !cfg.CallerFacing}
 	}
 	go func() { l.serveResult <- l.server.Serve(socket) }()
 	return l, nil
@@ -149,6 +151,9 @@
 	return int(l.inFlight.Load())
 }
 
+// Connections returns the number of open connections of a listener that bounds heads.
+func (l *Listener) Connections() int { return l.pool.count() }
+
 // Drain makes each further response ask the client to close the connection.
 func (l *Listener) Drain() {
 	l.draining.Store(true)
