internal/forwarder: one account of the memory of requests

Seen: queries over many shards, each of a hundred bytes, take a host beyond its memory: 300 at the same time over 48 shards took 91 MB of 64 with connections bounded, as each part costs two goroutines, buffers and an exchange.

Cause: heads, bodies and copies had a bound each, requests in flight had none, and nothing bounded the sum. The target of a request counted nowhere once its head was parsed, though it is held four times.

Change: reserver keeps one account of what clients make a host hold beside connections; budgeter decides by how far the work has come.

--- a/internal/forwarder/bodies.go
+++ b/internal/forwarder/bodies.go
@@ -4,6 +4,9 @@
 	"errors"
 	"io"
 	"sync/atomic"
+
+	"github.com/rhubarbpost/rhubarbpost/internal/reserver"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/budgeter"
 )
 
 const (
@@ -40,6 +43,10 @@
 // always read. Bodies of callers and answers to this host have one reader each, so that
 // callers can't keep a server's answer from being read.
 type bodyReader struct {
+	// account counts all buffers larger than smallBodyBytes for use, nil without a bound in
+	// common with others.
+	account *reserver.Account
+	use     budgeter.Use
 	// reserved is the total size in bytes of the buffers larger than
 	// unbudgetedBodyBytes, medium that of the others larger than smallBodyBytes.
 	reserved atomic.Int64
@@ -55,7 +62,7 @@
 	case size > unbudgetedBodyBytes:
 		held, budget = &b.reserved, largeBodyBudget
 	}
-	if held.Add(size) > budget {
+	if held.Add(size) > budget || !b.account.Take(b.use, size) {
 		held.Add(-size)
 		return false
 	}
@@ -66,11 +73,13 @@
 func (b *bodyReader) release(size int64) {
 	switch {
 	case size <= smallBodyBytes:
+		return
 	case size > unbudgetedBodyBytes:
 		b.reserved.Add(-size)
 	default:
 		b.medium.Add(-size)
 	}
+	b.account.Give(b.use, size)
 }
 
 // read reads a body of at most limit bytes; length is the Content-Length, or -1 if
--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/budgeter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/detector"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/rationer"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/scatterer"
@@ -78,6 +79,12 @@
 	gauge("requests_in_flight", func() float64 { return float64(f.callers.InFlight()) })
 	gauge("caller_body_buffer_bytes", func() float64 { return float64(f.bodies.reserved.Load() + f.bodies.medium.Load()) })
 	gauge("request_head_bytes", func() float64 { return float64(f.heads.Used()) })
+	for _, use := range budgeter.Uses() {
+		label := fmt.Sprintf("{use=%q}", use)
+		gauge("client_memory_bytes"+label, func() float64 { return float64(f.account.Used(use)) })
+		gauge("client_memory_limit_bytes"+label, func() float64 { return float64(f.account.Limit(use)) })
+		counter("client_memory_refused_total"+label, func() uint64 { return f.account.Refused(use) })
+	}
 	gauge("client_connections_open", func() float64 { return float64(f.callers.Connections()) })
 	gauge("client_connections_limit", func() float64 { return float64(f.machine.MaxConnections()) })
 	gauge("requests_waiting", func() float64 { return float64(f.turns.state().Waiting) })
--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -78,6 +78,8 @@
 	// charge is what the request has taken from the quota of the organisation.
 	charge   rationer.Charge
 	identity identity
+	// memory is what the request takes of the account for requests in flight, in bytes.
+	memory int64
 	// largeHead is how much of Forwarder.largeHeads the request has.
 	largeHead int64
 	// delegated is true if another host has delegated the request, relay has the terms if it
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
 	"github.com/rhubarbpost/rhubarbpost/internal/protocol/exchanger/exchangerconnect"
+	"github.com/rhubarbpost/rhubarbpost/internal/reserver"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/connector"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/budgeter"
@@ -69,8 +70,10 @@
 	// bodies reads the bodies of callers; delegate has the one for answers.
 	bodies   *bodyReader
 	delegate *delegate
-	// machine is what the process may use.
+	// machine is what the process may use, account the memory that clients make it hold beside
+	// their connections.
 	machine  budgeter.Machine
+	account  *reserver.Account
 	refusals refusals
 	// heads bounds the memory of the heads of requests.
 	heads *listener.Heads
@@ -138,16 +141,18 @@
 func New(cfg Config) (*Forwarder, error) {
 	d := newDelegate(cfg)
 	limits := machine(cfg.Settings)
+	account := reserver.New(limits)
+	d.bodies.account, d.bodies.use = account, budgeter.Answers
 	f := &Forwarder{
-		machine: limits,
-		cfg:     cfg, metrics: newCounters(), client: newClient(cfg, d.bodies, limits), bodies: &bodyReader{},
+		machine: limits, account: account,
+		cfg: cfg, metrics: newCounters(), client: newClient(cfg, d.bodies, limits), bodies: &bodyReader{account: account, use: budgeter.Bodies},
 		objects: cacher.New(), eras: newEras(), source: watcher.NewSource(cfg.Settings.sourceConfig()),
 	}
 	f.delegate, f.tokens = d, newTokenBroker()
 	f.quotas = newQuotas(cfg.Settings.Quota.rule())
 	f.largeHeads = newShares(largeHeadSubRequests)
 	f.refusals.f = f
-	f.heads = listener.NewHeads(headBudget(cfg.Settings), (&headRefusals{f: f}).add)
+	f.heads = listener.NewHeads(headBudget(cfg.Settings), (&headRefusals{f: f}).add).WithAccount(account)
 	f.settings.Store(&cfg.Settings)
 	f.room = newRoom(f.self())
 	f.turns = newTurns(cfg.Settings.Policy.sequencer(f.self()), cfg.Logger, f.metrics)
--- a/internal/forwarder/gather.go
+++ b/internal/forwarder/gather.go
@@ -51,6 +51,7 @@
 		}
 	}
 	a, err := f.acceptFromPeer(w, r, version, relay)
+	defer f.releaseMemory(a)
 	if err == nil {
 		defer f.endTurn(a)
 	}
@@ -85,6 +86,7 @@
 var (
 	errNotAccepted   = errors.New("this host can't accept the request")
 	errOlderVersion  = errors.New("this host has an older configuration")
+	errNoMemory      = errors.New(declinedBusy)
 	errInvalidSender = errors.New("the version of the other host is not a number")
 )
 
@@ -94,20 +96,23 @@
 	removeProceedByte(r)
 	a, failure := f.accept(w, r, takeSender(r.Header))
 	if failure != nil {
-		return nil, errNotAccepted
+		return a, errNotAccepted
 	}
 	senderVersion, err := strconv.ParseUint(version, 10, 64)
 	switch {
 	case err != nil:
-		return nil, errInvalidSender
+		return a, errInvalidSender
 	case a.version < senderVersion:
-		return nil, errOlderVersion
+		return a, errOlderVersion
 	}
 	a.objectiveSpent, a.delegated, a.relay = delegationReserve, true, relay
 	if sliceIndexes != "" {
 		err = a.restrictTo(sliceIndexes, needed, senderVersion)
 	}
 	a.objectiveSpent += spent
+	if err == nil && f.reserveMemory(a, a.route.SubRequests()) != nil {
+		return a, errNoMemory
+	}
 	return a, err
 }
 
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -40,6 +40,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	a, failure := f.accept(w, r, sender{})
+	defer f.releaseMemory(a)
 	if failure == nil {
 		failure = f.engine.blockedFailure(a.received, a.fingerprint)
 	}
@@ -62,6 +63,9 @@
 		return
 	}
 	failure = f.recheck(a)
+	if failure == nil {
+		failure = f.reserveMemory(a, a.route.SubRequests())
+	}
 	if failure != nil {
 		f.returnQuota(a)
 		f.refuse(w, a, failure)
@@ -125,6 +129,11 @@
 		return a, failure
 	}
 	f.setHomes(a)
+	// A query that this host gathers takes more later.
+	failure = f.reserveMemory(a, 1)
+	if failure != nil {
+		return a, failure
+	}
 	body, failure := f.readBody(w, r, table.Limits().BodyBytes, call.Remaining)
 	if failure != nil {
 		return a, failure
--- a/internal/forwarder/memory.go
+++ b/internal/forwarder/memory.go
@@ -9,10 +9,12 @@
 	"github.com/rhubarbpost/rhubarbpost/internal/logger"
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/budgeter"
+	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
 )
 
 const (
-	// refusalLogInterval is the least time between two log lines on closed connections.
+	// refusalLogInterval is the least time between two log lines on refusals for want of memory,
+	// and between two on closed connections.
 	refusalLogInterval = time.Second
 	// sideConnections bounds the connections of the listeners for readiness and for metrics.
 	sideConnections = 32
@@ -29,11 +31,33 @@
 	return m
 }
 
-// refusals logs some of the closed connections.
+// reserveMemory counts the memory of a request with a number of sub-requests at this host, or
+// returns why the request is refused. releaseMemory ends the count.
+func (f *Forwarder) reserveMemory(a *arrival, subRequests int) *classifier.Failure {
+	amount := budgeter.RequestBytes + int64(subRequests)*budgeter.SubRequestBytes
+	if amount <= a.memory {
+		return nil
+	}
+	if !f.account.Take(budgeter.Requests, amount-a.memory) {
+		f.refusals.noMemory(a, amount)
+		return classifier.NewFailure(classifier.Overloaded, "requests in flight take all the memory that they may").WithRetryAfter(transientRetryAfter)
+	}
+	a.memory = amount
+	return nil
+}
+
+// releaseMemory ends the count of what a request holds.
+func (f *Forwarder) releaseMemory(a *arrival) {
+	f.account.Give(budgeter.Requests, a.memory)
+	a.memory = 0
+}
+
+// refusals logs some of the refusals for want of memory and of the closed connections.
 type refusals struct {
 	f *Forwarder
 
 	mu          sync.Mutex
+	requests    sampledEvent
 	connections sampledEvent
 }
 
@@ -54,6 +78,19 @@
 	return unlogged, true
 }
 
+// noMemory logs a request that was refused for want of memory.
+func (r *refusals) noMemory(a *arrival, amount int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n, due := r.requests.next(time.Now())
+	if due {
+		account := r.f.account
+		r.f.cfg.Logger.Warn(logger.MemoryShort, "request", a.call.ID, "route", a.route.Name, "bytes", amount,
+			"heads", account.Used(budgeter.Heads), "bodies", account.Used(budgeter.Bodies), "requests", account.Used(budgeter.Requests),
+			"answers", account.Used(budgeter.Answers), "limit", account.Limit(budgeter.Requests), "refused", n)
+	}
+}
+
 // connectionClosed counts and logs a connection that was closed for want of room.
 func (r *refusals) connectionClosed(closed listener.ClosedConnection) {
 	r.f.metrics.connectionClosed(closed.Waited)
--- a/internal/lab/starter/crowds_test.go
+++ b/internal/lab/starter/crowds_test.go
@@ -91,6 +91,11 @@
 			go func() { _, _ = io.WriteString(conn, ahead) }()
 			ask(conn, http.MethodGet, "/s/x", i, "")
 		}},
+		// The smallest planned host, with more clients than it has room for.
+		"ManyRequestsAhead": {clients: 1000, memory: 136, descriptors: 2870, talk: func(conn net.Conn, i int) {
+			go func() { _, _ = io.WriteString(conn, ahead) }()
+			ask(conn, http.MethodGet, "/s/x", i, "Connection: close\r\n")
+		}},
 		"UnreadAnswers": {clients: 40, readBuffer: 4 << 10, talk: func(conn net.Conn, i int) {
 			// One after another, as the host reads only some long answers at the same time.
 			time.Sleep(time.Duration(i) * unreadInterval)
--- a/internal/logger/events.go
+++ b/internal/logger/events.go
@@ -102,6 +102,7 @@
 	WarmupBegun          Event = 593
 	RegionUnknown        Event = 594
 	HeadRefused          Event = 600
+	MemoryShort          Event = 601
 	ConnectionsShort     Event = 602
 	PaceBegun            Event = 610
 	PaceEnded            Event = 611
@@ -196,6 +197,7 @@
 	{WarmupBegun, "warmupBegun", "A backend server is cold: until it has warmed up, all hosts together keep to the rate that its service allows for that."},
 	{RegionUnknown, "regionUnknown", "The configuration names a region in which no failure domain is known, so that it allows no backend server; the rest holds."},
 	{HeadRefused, "headRefused", "The head of a request was refused before it was read in full, or before the request was begun, as it has too many lines or the heads of all requests take all their memory; the line counts those refused since the last such line."},
+	{MemoryShort, "memoryShort", "A request was refused before it was begun, as what clients make the host hold takes all the memory for it; the line has what each use takes and counts the requests refused since the last such line."},
 	{ConnectionsShort, "connectionsShort", "A connection without a request was closed since there are too many, the one that had waited longest if any waited, else the new one; the line counts those closed since the last such line."},
 	{PaceBegun, "paceBegun", "A backend server has started or recovered; it gets a part of its usual requests, which grows with its answers."},
 	{PaceEnded, "paceEnded", "A backend server gets all its usual requests again."},
--- a/internal/transport/listener/heads.go
+++ b/internal/transport/listener/heads.go
@@ -12,6 +12,9 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/rhubarbpost/rhubarbpost/internal/reserver"
+	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/budgeter"
 )
 
 const (
@@ -24,6 +27,9 @@
 	// DefaultHeadBudget is the memory in bytes of all larger heads together at a host whose
 	// memory is not known, an eighth of the smallest planned hosts (136 MB).
 	DefaultHeadBudget = 16 << 20
+	// targetCopies is how often the target of a request is held: as it came, as a path decoded and
+	// not, and while an attempt is written.
+	targetCopies = 4
 	// minHeaderLine is the length in bytes of the shortest header line: a name of one
 	// character, a colon and a line feed. The limit of lines is the size limit of a head
 	// divided by it (5,461 for callers), which no head within that size exceeds.
@@ -57,6 +63,8 @@
 type Heads struct {
 	budget int64
 	used   atomic.Int64
+	// account has the memory of all uses, nil without a further bound.
+	account *reserver.Account
 	// refused is called with each head that was refused.
 	refused func(HeadRefusal)
 }
@@ -66,13 +74,19 @@
 	return &Heads{budget: budget, refused: refused}
 }
 
+// WithAccount makes the heads count in an account, too, before the first of them.
+func (h *Heads) WithAccount(account *reserver.Account) *Heads {
+	h.account = account
+	return h
+}
+
 // Used returns the estimated memory in bytes of the heads that count.
 func (h *Heads) Used() int64 { return h.used.Load() }
 
-// parsedCost returns the estimated memory in bytes of a header, or 0 if it is small.
-func parsedCost(h http.Header) int64 {
-	var lines, size int64
-	for name, values := range h {
+// parsedCost returns the estimated memory in bytes of the head of a request, or 0 if it is small.
+func parsedCost(r *http.Request) int64 {
+	lines, size := int64(1), int64(targetCopies*len(r.RequestURI)/2)
+	for name, values := range r.Header {
 		for _, value := range values {
 			lines++
 			size += int64(len(name) + len(value))
@@ -91,11 +105,16 @@
 
 // move changes a reservation, or reports that the budget is used up.
 func (h *Heads) move(from, to int64) bool {
-	if h.used.Add(to-from) > h.budget && to > from {
-		h.used.Add(from - to)
-		return false
+	if to <= from {
+		h.used.Add(to - from)
+		h.account.Give(budgeter.Heads, from-to)
+		return true
 	}
-	return true
+	if h.used.Add(to-from) <= h.budget && h.account.Take(budgeter.Heads, to-from) {
+		return true
+	}
+	h.used.Add(from - to)
+	return false
 }
 
 // headListener accepts connections whose number and heads are bounded.
@@ -331,7 +350,7 @@
 		if last {
 			w.Header().Set("Connection", "close")
 		}
-		cost := parsedCost(r.Header)
+		cost := parsedCost(r)
 		if !c.enter(cost) {
 			heads := c.listener.heads
 			heads.refused(HeadRefusal{Client: r.RemoteAddr, Lines: len(r.Header), Cost: cost, Used: heads.Used(), Status: http.StatusServiceUnavailable})
--- a/pkg/coordination/budgeter/doc.go
+++ b/pkg/coordination/budgeter/doc.go
@@ -1,2 +1,3 @@
-// Package budgeter divides what a process may use among its clients and its own needs.
+// Package budgeter bounds the memory that clients make a host hold, whatever they send: connections
+// by their number, everything else by one account.
 package budgeter
