internal/transport/listener: bytes that a host hasn't read are bounded

Seen: clients that send many requests ahead of the first answer make the kernel hold them. Bytes that were received and not read count towards the memory of a machine, so that the process is ended though it holds little itself.

Cause: the receive buffers of connections had the kernel's size, 120 KB of payload for each connection that isn't read.

Change: the listener for callers asks for buffers of 16 KB, which accepted connections inherit.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -218,7 +218,7 @@
 		f.listeners = append(f.listeners, l)
 		*side.address = l.Address()
 	}
-	connections := listener.Connections{Max: f.machine.MaxConnections(), Closed: f.refusals.connectionClosed}
+	connections := listener.Connections{Max: f.machine.MaxConnections(), ReceiveBufferBytes: budgeter.ReceiveBufferBytes, Closed: f.refusals.connectionClosed}
 	l, err := listener.New(listener.Config{Address: addresses.Callers, Handler: f, CallerFacing: true, Heads: f.heads, Connections: connections})
 	if err != nil {
 		return err
--- a/internal/transport/listener/connections.go
+++ b/internal/transport/listener/connections.go
@@ -3,12 +3,16 @@
 import (
 	"container/list"
 	"sync"
+	"syscall"
 )
 
 // Connections bounds the connections of a listener.
 type Connections struct {
 	// Max is the number of open connections, 0 for no bound.
 	Max int
+	// ReceiveBufferBytes is the size of the kernel's receive buffer of each connection, as far as
+	// the kernel keeps to it; 0 for the size that the kernel chooses.
+	ReceiveBufferBytes int
 	// Closed is called with each connection that was closed for want of room.
 	Closed func(ClosedConnection)
 }
@@ -24,6 +28,22 @@
 	Open int
 }
 
+// control sets the size of the receive buffer on a socket before it listens; accepted connections
+// inherit it.
+func (c Connections) control(_, _ string, raw syscall.RawConn) error {
+	if c.ReceiveBufferBytes == 0 {
+		return nil
+	}
+	var result error
+	err := raw.Control(func(fd uintptr) {
+		result = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, c.ReceiveBufferBytes)
+	})
+	if err != nil {
+		return err
+	}
+	return result
+}
+
 // connectionPool counts open connections and knows those that wait for a request.
 type connectionPool struct {
 	Connections
--- a/internal/transport/listener/connections_test.go
+++ b/internal/transport/listener/connections_test.go
@@ -28,7 +28,7 @@
 func newCrowdedServer(t *testing.T) *crowdedServer {
 	is := is.New(t)
 	s := &crowdedServer{entered: make(chan struct{}, 8), finish: make(chan struct{})}
-	connections := Connections{Max: 2, Closed: func(c ClosedConnection) {
+	connections := Connections{Max: 2, ReceiveBufferBytes: 16 << 10, Closed: func(c ClosedConnection) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.closed = append(s.closed, c)
--- a/internal/transport/listener/listener.go
+++ b/internal/transport/listener/listener.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var sockets net.ListenConfig
+	sockets := net.ListenConfig{Control: cfg.Connections.control}
 	socket, err := sockets.Listen(context.Background(), "tcp", cfg.Address)
 	if err != nil {
 		return nil, &ListenError{Address: cfg.Address, cause: err}
--- a/pkg/coordination/budgeter/budgeter.go
+++ b/pkg/coordination/budgeter/budgeter.go
@@ -38,8 +38,11 @@
 	newShare     = 0.5
 	requestShare = 0.75
 	// ConnectionBytes is the memory that an open connection of a client takes: its buffers, its
-	// goroutine and bytes that it hasn't read.
+	// goroutine and ReceiveBufferBytes.
 	ConnectionBytes = 34 << 10
+	// ReceiveBufferBytes bounds the bytes of a connection that the kernel has received and the
+	// process hasn't read.
+	ReceiveBufferBytes = 16 << 10
 	// RequestBytes is the memory that a request in flight takes, with a small head and a small
 	// body.
 	RequestBytes = 16 << 10
