internal/forwarder: answers count until they are written

Seen: clients that ask for long answers and read none take a host beyond its memory: 40 of them with 4 MB each, 180 MB of 64.

Cause: the bound of bodies covered an answer only while it was read from the server. A client that doesn't read kept it for up to five minutes, uncounted.

Change: an answer counts until its request has ended. One of known length reserves its room before it is read and waits for it, since its request has run; it was ended with 502 before. The server's connection holds it back meanwhile. A client that takes less than 64 KB in 10 s is cut off. Parts of a query count while they are read, as before: queries that hold some and wait for others would wait for each other.

--- a/internal/forwarder/bodies.go
+++ b/internal/forwarder/bodies.go
@@ -1,9 +1,13 @@
 package forwarder
 
 import (
+	"context"
 	"errors"
 	"io"
+	"net/http"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rhubarbpost/rhubarbpost/internal/reserver"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/budgeter"
@@ -30,6 +34,8 @@
 	// initialBodyBuffer is the initial buffer size, in bytes, for a body of unknown
 	// length.
 	initialBodyBuffer = 512
+	// roomCheckInterval is how often an answer that waits for room looks for it, unless it is told.
+	roomCheckInterval = 20 * time.Millisecond
 )
 
 // Errors returned by bodyReader.read.
@@ -51,6 +57,10 @@
 	// unbudgetedBodyBytes, medium that of the others larger than smallBodyBytes.
 	reserved atomic.Int64
 	medium   atomic.Int64
+
+	// mu guards freed, which is closed when a buffer is released; nil if nothing waits for that.
+	mu    sync.Mutex
+	freed chan struct{}
 }
 
 // reserve counts a buffer of a size against its budget, or reports that this is used up.
@@ -69,6 +79,31 @@
 	return true
 }
 
+// await reserves a buffer as reserve does, and waits until there is room, at most for as long as
+// the context.
+func (b *bodyReader) await(ctx context.Context, size int64) bool {
+	if b.reserve(size) {
+		return true
+	}
+	for {
+		b.mu.Lock()
+		if b.freed == nil {
+			b.freed = make(chan struct{})
+		}
+		freed := b.freed
+		b.mu.Unlock()
+		if b.reserve(size) {
+			return true
+		}
+		select {
+		case <-freed:
+		case <-time.After(roomCheckInterval): // other uses of the account may have ended
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // release takes back what reserve has counted.
 func (b *bodyReader) release(size int64) {
 	switch {
@@ -80,6 +115,35 @@
 		b.medium.Add(-size)
 	}
 	b.account.Give(b.use, size)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.freed != nil {
+		close(b.freed)
+		b.freed = nil
+	}
+}
+
+// readAnswer reads the body of an answer, which counts as long as it is held. An answer of a known
+// length waits for room, as its request has run.
+func (b *bodyReader) readAnswer(ctx context.Context, response *http.Response, held *holding) ([]byte, error) {
+	if response.Body == http.NoBody {
+		// An answer to HEAD states the length of a body that it doesn't have.
+		return nil, nil
+	}
+	if response.ContentLength > maxBodyBytes {
+		return nil, errBodyTooLarge
+	}
+	ahead := response.ContentLength + 1 // 0 if the length is unknown
+	if !b.await(ctx, ahead) {
+		return nil, errBodyBudgetExhausted
+	}
+	body, release, err := b.fill(response.Body, response.ContentLength, maxBodyBytes, ahead)
+	if err != nil {
+		release()
+		return nil, err
+	}
+	held.add(release)
+	return body, nil
 }
 
 // read reads a body of at most limit bytes; length is the Content-Length, or -1 if
@@ -92,7 +156,11 @@
 
 // hold reads a body as read does. Its buffer counts until release is called, once.
 func (b *bodyReader) hold(r io.Reader, length, limit int64) (body []byte, release func(), err error) {
-	var held int64
+	return b.fill(r, length, limit, 0)
+}
+
+// fill reads a body for which a buffer of held bytes has been reserved, as hold does.
+func (b *bodyReader) fill(r io.Reader, length, limit, held int64) (body []byte, release func(), err error) {
 	release = func() { b.release(held) }
 	// The buffer grows with what has arrived, as a sender may announce more than it sends.
 	buf := make([]byte, 0, min(max(length+1, initialBodyBuffer), smallBodyBytes))
@@ -111,12 +179,17 @@
 		}
 		// One byte beyond the limit is enough to detect a body that is too large.
 		size := min(max(int64(2*cap(buf)), min(length+1, unbudgetedBodyBytes)), limit+1)
-		if !b.reserve(size) {
+		if length >= int64(cap(buf)) {
+			size = min(size, length+1)
+		}
+		if size > held && !b.reserve(size) {
 			return nil, release, errBodyBudgetExhausted
 		}
 		buf = append(make([]byte, 0, size), buf...)
-		// The smaller buffer has been released.
-		b.release(held)
-		held = size
+		if size > held {
+			// The smaller buffer has been released.
+			b.release(held)
+			held = size
+		}
 	}
 }
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -68,6 +68,8 @@
 	// copyCost is the memory in bytes that a copy of the header takes, 0 if it is small.
 	copyCost int64
 	body     []byte
+	// held has the answers until the request has ended.
+	held *holding
 }
 
 // client exchanges requests with backend servers.
@@ -255,7 +257,7 @@
 		return &Answer{Code: classifier.ServerFailed, Err: err, Evidence: evidence}
 	}
 	a := &Answer{Status: response.StatusCode, Header: response.Header, Evidence: evidence}
-	a.Body, err = c.bodies.read(response.Body, response.ContentLength, maxBodyBytes)
+	a.Body, err = c.bodies.readAnswer(ctx, response, out.held)
 	// If part of the body is unread, this also closes the connection.
 	_ = response.Body.Close()
 	switch {
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -401,7 +401,7 @@
 	receiptTimer.Stop()
 	var answer *Answer
 	if err == nil {
-		answer, err = f.readGathered(response, host)
+		answer, err = f.readGathered(ctx, response, host, a.outbound.held)
 		_ = response.Body.Close()
 		if err == nil && gate.close() {
 			// An answer without a receipt refuses the head, before the other host has begun.
@@ -416,12 +416,12 @@
 }
 
 // readGathered reads the answer of another host, or returns why that host has declined.
-func (f *Forwarder) readGathered(response *http.Response, host *lister.Server) (*Answer, error) {
+func (f *Forwarder) readGathered(ctx context.Context, response *http.Response, host *lister.Server, held *holding) (*Answer, error) {
 	err := checkStatus(response)
 	if err != nil {
 		return nil, err
 	}
-	body, err := f.delegate.bodies.read(response.Body, response.ContentLength, maxBodyBytes)
+	body, err := f.delegate.bodies.readAnswer(ctx, response, held)
 	declined := response.Header.Get(declinedHeader)
 	switch {
 	case err != nil:
--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -26,6 +25,10 @@
 	// configuration, and the caller is told to retry. The limit exceeds the
 	// duration of a watch and a round of comparisons with peers.
 	configStaleAge = 3 * time.Second
+	// answerStallTimeout is how long a client may take to receive a piece of an answer of
+	// answerPieceBytes; a client that takes longer has stopped reading.
+	answerStallTimeout = 10 * time.Second
+	answerPieceBytes   = 64 << 10
 )
 
 // connectionHeaders are hop-by-hop headers, which are not forwarded.
@@ -151,7 +154,7 @@
 	if a.identity.applies {
 		f.cfg.Dialect.SetOrganisation(header, a.organisationName())
 	}
-	a.outbound = outbound{method: r.Method, url: r.URL, host: r.Host, header: header, copyCost: copyCost(header), body: body}
+	a.outbound = outbound{method: r.Method, url: r.URL, host: r.Host, header: header, copyCost: copyCost(header), body: body, held: newHolding(route)}
 	a.fingerprint = vetter.Identity{Method: r.Method, Host: call.Host, Target: r.RequestURI, Caller: a.callerIdentity(), Body: body}.Fingerprint()
 	return a, nil
 }
@@ -243,7 +246,7 @@
 	text := failure.Error() + "\n"
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	w.WriteHeader(failure.Code.Definition().Status)
-	_, _ = io.WriteString(w, text)
+	writeBody(w, []byte(text))
 }
 
 // answer writes the engine's reply to a request.
@@ -298,7 +301,22 @@
 		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
 	}
 	w.WriteHeader(a.Status)
-	_, _ = w.Write(a.Body)
+	writeBody(w, a.Body)
+}
+
+// writeBody writes the body of an answer, as long as the client takes a piece of it within
+// answerStallTimeout.
+func writeBody(w http.ResponseWriter, body []byte) {
+	control := http.NewResponseController(w)
+	for {
+		// Setting a deadline can't fail on a connection of net/http.
+		_ = control.SetWriteDeadline(time.Now().Add(answerStallTimeout))
+		n, err := w.Write(body[:min(len(body), answerPieceBytes)])
+		body = body[n:]
+		if err != nil || len(body) == 0 {
+			return
+		}
+	}
 }
 
 // writeMerged writes the greatest rows of the shards that answered, with headers that
@@ -322,5 +340,5 @@
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(http.StatusOK)
-	_, _ = w.Write(body)
+	writeBody(w, body)
 }
--- a/internal/forwarder/memory.go
+++ b/internal/forwarder/memory.go
@@ -10,6 +10,7 @@
 	"github.com/rhubarbpost/rhubarbpost/internal/transport/listener"
 	"github.com/rhubarbpost/rhubarbpost/pkg/coordination/budgeter"
 	"github.com/rhubarbpost/rhubarbpost/pkg/protocol/classifier"
+	"github.com/rhubarbpost/rhubarbpost/pkg/state/matcher"
 )
 
 const (
@@ -50,6 +51,7 @@
 func (f *Forwarder) releaseMemory(a *arrival) {
 	f.account.Give(budgeter.Requests, a.memory)
 	a.memory = 0
+	a.outbound.held.end()
 }
 
 // refusals logs some of the refusals for want of memory and of the closed connections.
@@ -103,6 +105,53 @@
 	}
 }
 
+// holding has what a request holds until its answer has been written. A nil holding holds nothing.
+type holding struct {
+	mu       sync.Mutex
+	ended    bool
+	releases []func()
+}
+
+// newHolding returns what a request on a route holds. Parts of a query are not held until its answer
+// is written, which has a few rows of them: queries that hold some parts and wait for room for others
+// would wait for each other.
+func newHolding(route *matcher.Route) *holding {
+	_, ok := route.Target.(*matcher.Sharded)
+	if ok {
+		return nil
+	}
+	return &holding{}
+}
+
+// add makes the request hold something, which is released at once if the request has ended.
+func (h *holding) add(release func()) {
+	if h == nil {
+		release()
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended {
+		release()
+		return
+	}
+	h.releases = append(h.releases, release)
+}
+
+// end releases all that the request holds.
+func (h *holding) end() {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ended = true
+	for _, release := range h.releases {
+		release()
+	}
+	h.releases = nil
+}
+
 // exchangeShares returns the bound of a number of exchanges, 0 for none.
 func exchangeShares(exchanges int) *shares {
 	if exchanges == 0 {
