internal/forwarder: a body has the time of its route

Seen: clients that state a time of an hour and never end their body keep their connections for it. With as many as a host takes, no ordinary caller is answered.

Cause: the time for a body was what the client states, however long.

Change: it is bounded by the timeout of the route, too, after which the request couldn't run any more. Such a request ends with 504; it was 400, which tells clients not to come back.

Evidence: UnfinishedBodies had no ordinary request answered in 60 s before; it is answered after, 25 MB of 64 allowed.

--- a/internal/forwarder/handler.go
+++ b/internal/forwarder/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/textproto"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -137,7 +138,7 @@
 	if failure != nil {
 		return a, failure
 	}
-	body, failure := f.readBody(w, r, table.Limits().BodyBytes, call.Remaining)
+	body, failure := f.readBody(w, r, table.Limits().BodyBytes, readLimit(call.Remaining, route))
 	if failure != nil {
 		return a, failure
 	}
@@ -170,6 +171,14 @@
 	return classifier.NewFailure(classifier.UnknownRoute, "%s%s, version %d", host, path, table.Version())
 }
 
+// readLimit returns how long the body of a request may take.
+func readLimit(left time.Duration, route *matcher.Route) time.Duration {
+	if route.Timeout == 0 {
+		return left
+	}
+	return min(left, route.Timeout)
+}
+
 // readBody reads the body of a request for no longer than left, the time that the
 // caller still waits. limit is the size limit in bytes set by the configuration, 0 if
 // it sets none.
@@ -201,6 +210,8 @@
 		return nil, classifier.NewFailure(classifier.BodyTooLarge, "limit %d bytes", limit)
 	case errors.Is(err, errBodyBudgetExhausted):
 		return nil, classifier.NewFailure(classifier.Overloaded, "%v", err).WithRetryAfter(transientRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, classifier.NewFailure(classifier.DeadlineExceeded, "the body hasn't arrived within %v", left)
 	case err != nil:
 		return nil, classifier.NewFailure(classifier.InvalidRequest, "body ends early: %v", err)
 	}
