review/stage: the template of settings has descriptors

deploy/host.jsonc asks for the descriptors of a machine since connections of clients are bounded, so that the scripts of the first review could no longer fill it in.

--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -206,7 +206,7 @@
 func (s *stage) fill(template string, h *hostProcess, ip, domain, control, seeds string) string {
 	return strings.NewReplacer(
 		"{{node_name|json}}", strconv.Quote(h.name), "{{zone|json}}", strconv.Quote(domain), "{{#region}}", "", "{{/region}}", "", "{{region|json}}", `"tas"`, "{{zones|json}}", "{}",
-		"{{limits.cpu_share}}", "0.4", "{{limits.memory_mb}}", "284", "{{limits.link_mbps}}", "1000.0",
+		"{{limits.cpu_share}}", "0.4", "{{limits.memory_mb}}", "284", "{{limits.max_fds}}", "4100", "{{limits.link_mbps}}", "1000.0",
 		"{{listen_addrs.front|json}}", strconv.Quote(h.callers), "{{listen_addrs.readiness|json}}", strconv.Quote(h.ready),
 		"{{listen_addrs.control|json}}", strconv.Quote(control), "{{ip}}", ip, "{{seeds|json}}", "["+seeds+"]",
 		"{{bootstrap|json}}", "true", "{{platform.address|json}}", strconv.Quote(s.store.Address()),
