--- a/internal/forwarder/heads.go
+++ b/internal/forwarder/heads.go
@@ -27,8 +27,6 @@
 	largeHeadSubRequests = 256
 	// largeHeadWaitShare is the fraction of a caller's time for which its request waits for that.
 	largeHeadWaitShare = 0.5
-	// headLogInterval is the least time between two log lines on refused heads.
-	headLogInterval = time.Second
 )
 
 // headBudget returns the memory in bytes for the heads of requests.
@@ -73,23 +71,20 @@
 type headRefusals struct {
 	f *Forwarder
 
-	mu       sync.Mutex
-	unlogged int
-	loggedAt time.Time
+	mu      sync.Mutex
+	refused sampledEvent
 }
 
 func (h *headRefusals) add(refusal listener.HeadRefusal) {
 	h.f.metrics.headRefused(refusal.Status)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.unlogged++
-	now := time.Now()
-	if now.Sub(h.loggedAt) < headLogInterval {
+	n, due := h.refused.next(time.Now())
+	if !due {
 		return
 	}
 	h.f.cfg.Logger.Warn(logger.HeadRefused, "client", refusal.Client, "status", refusal.Status, "lines", refusal.Lines, "bytes", refusal.Bytes,
-		"cost", refusal.Cost, "used", refusal.Used, "budget", headBudget(h.f.cfg.Settings), "refused", h.unlogged)
-	h.unlogged, h.loggedAt = 0, now
+		"cost", refusal.Cost, "used", refusal.Used, "budget", headBudget(h.f.cfg.Settings), "refused", n)
 }
 
 // shares divides an amount of memory among goroutines, which get it in the order in which they
--- a/internal/forwarder/memory.go
+++ b/internal/forwarder/memory.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// refusalLogInterval is the least time between two log lines on refusals for want of memory,
-	// and between two on closed connections.
+	// refusalLogInterval is the least time between two log lines on refused heads, on refusals for
+	// want of memory and on closed connections, each for itself.
 	refusalLogInterval = time.Second
 	// sideConnections bounds the connections of the listeners for readiness and for metrics.
 	sideConnections = 32
